--- /dev/null
+++ b/packages/cli/src/bamboonotch_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision code of bamboonotch."""
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-package admission of the decision core."""
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/configuration/__init__.py
@@ -0,0 +1,50 @@
+"""Configuration documents, patches, log entries and differences between versions."""
+
+from bamboonotch_core.configuration._difference import Difference, diff_documents
+from bamboonotch_core.configuration._document import (
+    EMPTY_CONFIGURATION,
+    EMPTY_DOCUMENT,
+    Configuration,
+    Document,
+    RequestClass,
+    Route,
+    Service,
+    canonical_json,
+    digest_document,
+)
+from bamboonotch_core.configuration._log import (
+    LogEntry,
+    apply_entry,
+    decode_entry,
+    decode_snapshot,
+    encode_entry,
+    encode_snapshot,
+    make_entry,
+)
+from bamboonotch_core.configuration._patch import Patch, apply_patch, parse_patch
+from bamboonotch_core.configuration._validation import parse_configuration
+
+__all__ = [
+    "EMPTY_CONFIGURATION",
+    "EMPTY_DOCUMENT",
+    "Configuration",
+    "Difference",
+    "Document",
+    "LogEntry",
+    "Patch",
+    "RequestClass",
+    "Route",
+    "Service",
+    "apply_entry",
+    "apply_patch",
+    "canonical_json",
+    "decode_entry",
+    "decode_snapshot",
+    "diff_documents",
+    "digest_document",
+    "encode_entry",
+    "encode_snapshot",
+    "make_entry",
+    "parse_configuration",
+    "parse_patch",
+]
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/configuration/_document.py
@@ -0,0 +1,118 @@
+"""Types of a configuration document and its canonical encoding."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from immutables import Map
+
+__all__ = [
+    "EMPTY_CONFIGURATION",
+    "EMPTY_DOCUMENT",
+    "Configuration",
+    "Document",
+    "RequestClass",
+    "Route",
+    "Service",
+    "canonical_json",
+    "digest_document",
+]
+
+Document = Mapping[str, Any]
+"""A configuration document as parsed JSON. Callers must not change it."""
+
+EMPTY_DOCUMENT: Document = {"classes": {}, "services": {}, "routes": {}}
+"""The document of version 0."""
+
+
+@dataclass(frozen=True)
+class RequestClass:
+    """Admission policy of one class of requests.
+
+    :param name: name of the class.
+    :param priority: 0 is served first; larger numbers are shed earlier.
+    :param queue_limit: requests that may wait at one owner.
+    :param queue_timeout_ms: longest wait in the queue, in milliseconds.
+    """
+
+    name: str
+    priority: int
+    queue_limit: int
+    queue_timeout_ms: int
+
+
+@dataclass(frozen=True)
+class Service:
+    """One service of a customer.
+
+    :param name: name of the service.
+    :param tenant: the customer that owns it.
+    :param slots_per_backend_server: requests that one backend server runs at once.
+    :param ramp_ms: time over which a cold backend server reaches all its slots, in milliseconds.
+    """
+
+    name: str
+    tenant: str
+    slots_per_backend_server: int
+    ramp_ms: int
+
+
+@dataclass(frozen=True)
+class Route:
+    """Maps requests to a service and a class.
+
+    :param name: name of the route.
+    :param path_prefix: prefix of the request path, starting with a slash.
+    :param methods: HTTP methods that the route takes.
+    :param service: name of the service that answers.
+    :param request_class: name of the class that sets priority and queueing.
+    :param idempotent: whether a request may run more than once.
+    :param timeout_ms: default and upper bound of the deadline, in milliseconds.
+    """
+
+    name: str
+    path_prefix: str
+    methods: frozenset[str]
+    service: str
+    request_class: str
+    idempotent: bool
+    timeout_ms: int
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """A validated configuration document.
+
+    :param classes: request classes by name.
+    :param services: services by name.
+    :param routes: routes by name.
+    """
+
+    classes: Map[str, RequestClass]
+    services: Map[str, Service]
+    routes: Map[str, Route]
+
+
+EMPTY_CONFIGURATION = Configuration(Map(), Map(), Map())
+"""The configuration of version 0."""
+
+
+def canonical_json(document: Document) -> bytes:
+    """Encode a document as UTF-8 JSON with sorted keys and no spaces.
+
+    :param document: the document.
+    """
+    text = json.dumps(document, sort_keys=True, separators=(",", ":"), ensure_ascii=False)
+    return text.encode()
+
+
+def digest_document(document: Document) -> str:
+    """Return the SHA-256 digest of the canonical JSON, as 64 hexadecimal digits.
+
+    :param document: the document.
+    """
+    return hashlib.sha256(canonical_json(document)).hexdigest()
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/configuration/_validation.py
@@ -0,0 +1,199 @@
+"""Validation of configuration documents.
+
+The same code runs before a version is accepted and on every node, so its verdict must depend on
+the document alone.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+
+from immutables import Map
+
+from bamboonotch_core.configuration._document import (
+    Configuration,
+    Document,
+    RequestClass,
+    Route,
+    Service,
+)
+from bamboonotch_core.errors import ConfigurationError, ConfigurationFault
+
+__all__ = ["parse_configuration"]
+
+NAME_PATTERN = re.compile(r"[a-z0-9-]{1,64}\Z")
+PATH_PREFIX_PATTERN = re.compile(r"/[!-~]{0,255}\Z")
+METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"})
+MAX_PRIORITY = 15
+MAX_QUEUE_LIMIT = 100_000
+MAX_SLOTS = 10_000
+MAX_DURATION_MS = 600_000
+
+_Part = TypeVar("_Part")
+_TOP_LEVEL = ("classes", "services", "routes")
+
+
+class _Fields:
+    """Reads the fields of one JSON object and collects its faults."""
+
+    def __init__(self, pointer: str, value: Any, faults: list[ConfigurationFault]) -> None:
+        self._pointer = pointer
+        self._faults = faults
+        self._values: Mapping[str, Any] = value if isinstance(value, dict) else {}
+        self._known: set[str] = set()
+        if not isinstance(value, dict):
+            self._add("", "must be an object")
+
+    def _add(self, field: str, message: str) -> None:
+        pointer = f"{self._pointer}/{field}" if field else self._pointer
+        self._faults.append(ConfigurationFault(pointer, message))
+
+    def integer(self, field: str, minimum: int, maximum: int, default: int | None = None) -> int:
+        """Read an integer within bounds."""
+        self._known.add(field)
+        value = self._values.get(field, default)
+        if isinstance(value, bool) or not isinstance(value, int) or not minimum <= value <= maximum:
+            self._add(field, f"must be an integer from {minimum} to {maximum}")
+            return minimum
+        return value
+
+    def boolean(self, field: str) -> bool:
+        """Read a boolean."""
+        self._known.add(field)
+        value = self._values.get(field)
+        if not isinstance(value, bool):
+            self._add(field, "must be true or false")
+            return False
+        return value
+
+    def name(self, field: str) -> str:
+        """Read a name."""
+        return self.text(field, NAME_PATTERN, "must be 1 to 64 characters of a-z, 0-9 and -")
+
+    def text(self, field: str, pattern: re.Pattern[str], message: str) -> str:
+        """Read a string that matches a pattern."""
+        self._known.add(field)
+        value = self._values.get(field)
+        if not isinstance(value, str) or not pattern.match(value):
+            self._add(field, message)
+            return ""
+        return value
+
+    def methods(self, field: str) -> frozenset[str]:
+        """Read a list of HTTP methods."""
+        self._known.add(field)
+        value = self._values.get(field)
+        valid = isinstance(value, list) and value and all(isinstance(item, str) for item in value)
+        if not valid or not METHODS.issuperset(value or ()):
+            allowed = ", ".join(sorted(METHODS))
+            self._add(field, f"must be a list of one or more of {allowed}")
+            return frozenset()
+        return frozenset(value or ())
+
+    def finish(self) -> None:
+        """Report every field that was not read."""
+        for field in sorted(set(self._values) - self._known):
+            self._add(field, "is not a known field")
+
+
+def _parse_class(name: str, fields: _Fields) -> RequestClass:
+    return RequestClass(
+        name=name,
+        priority=fields.integer("priority", 0, MAX_PRIORITY),
+        queue_limit=fields.integer("queue_limit", 0, MAX_QUEUE_LIMIT, 64),
+        queue_timeout_ms=fields.integer("queue_timeout_ms", 1, MAX_DURATION_MS, 500),
+    )
+
+
+def _parse_service(name: str, fields: _Fields) -> Service:
+    return Service(
+        name=name,
+        tenant=fields.name("tenant"),
+        slots_per_backend_server=fields.integer("slots_per_backend_server", 1, MAX_SLOTS),
+        ramp_ms=fields.integer("ramp_ms", 0, MAX_DURATION_MS, 5000),
+    )
+
+
+def _parse_route(name: str, fields: _Fields) -> Route:
+    return Route(
+        name=name,
+        path_prefix=fields.text(
+            "path_prefix",
+            PATH_PREFIX_PATTERN,
+            "must be a path of at most 256 printable ASCII characters that starts with /",
+        ),
+        methods=fields.methods("methods"),
+        service=fields.name("service"),
+        request_class=fields.name("request_class"),
+        idempotent=fields.boolean("idempotent"),
+        timeout_ms=fields.integer("timeout_ms", 1, MAX_DURATION_MS),
+    )
+
+
+def _parse_section(
+    document: Document,
+    section: str,
+    parse: Callable[[str, _Fields], _Part],
+    faults: list[ConfigurationFault],
+) -> Map[str, _Part]:
+    values = document.get(section)
+    if not isinstance(values, dict):
+        faults.append(ConfigurationFault(f"/{section}", "must be an object"))
+        return Map()
+    parts: dict[str, _Part] = {}
+    for name in sorted(values):
+        pointer = f"/{section}/{name.replace('~', '~0').replace('/', '~1')}"
+        if not NAME_PATTERN.match(name):
+            faults.append(
+                ConfigurationFault(pointer, "name must be 1 to 64 characters of a-z, 0-9 and -")
+            )
+            continue
+        fields = _Fields(pointer, values[name], faults)
+        parts[name] = parse(name, fields)
+        fields.finish()
+    return Map(parts)
+
+
+def _check_references(configuration: Configuration, faults: list[ConfigurationFault]) -> None:
+    for name, route in sorted(configuration.routes.items()):
+        if route.service and route.service not in configuration.services:
+            message = f"service {route.service!r} does not exist"
+            faults.append(ConfigurationFault(f"/routes/{name}/service", message))
+        if route.request_class and route.request_class not in configuration.classes:
+            message = f"class {route.request_class!r} does not exist"
+            faults.append(ConfigurationFault(f"/routes/{name}/request_class", message))
+
+
+def _check_overlaps(configuration: Configuration, faults: list[ConfigurationFault]) -> None:
+    taken: dict[tuple[str, str], str] = {}
+    for name, route in sorted(configuration.routes.items()):
+        for method in sorted(route.methods):
+            other = taken.setdefault((route.path_prefix, method), name)
+            if other != name:
+                message = f"{method} {route.path_prefix} is already taken by route {other!r}"
+                faults.append(ConfigurationFault(f"/routes/{name}", message))
+
+
+def parse_configuration(document: Document) -> Configuration:
+    """Validate a document and return it as typed values.
+
+    :param document: the document as parsed JSON.
+    :raises ConfigurationError: with every fault of the document.
+    """
+    faults: list[ConfigurationFault] = []
+    if not isinstance(document, dict):
+        raise ConfigurationError((ConfigurationFault("", "must be an object"),))
+    for field in sorted(set(document) - set(_TOP_LEVEL)):
+        faults.append(ConfigurationFault(f"/{field}", "is not a known field"))
+    configuration = Configuration(
+        classes=_parse_section(document, "classes", _parse_class, faults),
+        services=_parse_section(document, "services", _parse_service, faults),
+        routes=_parse_section(document, "routes", _parse_route, faults),
+    )
+    _check_references(configuration, faults)
+    _check_overlaps(configuration, faults)
+    if faults:
+        raise ConfigurationError(tuple(faults))
+    return configuration
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-package distribution of the decision core."""
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/effects.py
@@ -0,0 +1,116 @@
+"""Effects of the control part: what the runtime does for the reducer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bamboonotch_core.messages import Message
+
+__all__ = [
+    "CloseLink",
+    "CompeteForSlot",
+    "Effect",
+    "OpenLink",
+    "ReadNewest",
+    "ReadSlots",
+    "Report",
+    "SendMessage",
+    "WatchEntry",
+    "WriteSnapshot",
+]
+
+
+class Effect:
+    """Base class of effects."""
+
+
+@dataclass(frozen=True)
+class SendMessage(Effect):
+    """Send a control message; dropped without notice when the link has closed.
+
+    :param link_id: the stream.
+    :param message: the message.
+    """
+
+    link_id: str
+    message: Message
+
+
+@dataclass(frozen=True)
+class OpenLink(Effect):
+    """Dial a peer; answered by ``LinkOpened`` or ``LinkFailed``.
+
+    :param address: ``ip:port`` to dial.
+    """
+
+    address: str
+
+
+@dataclass(frozen=True)
+class CloseLink(Effect):
+    """Close a control stream; answered by ``LinkClosed``.
+
+    :param link_id: the stream.
+    :param reason: why, for the log.
+    """
+
+    link_id: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class ReadNewest(Effect):
+    """Read the newest version; answered by ``StoreNewestRead`` or ``StoreReadFailed``."""
+
+
+@dataclass(frozen=True)
+class WatchEntry(Effect):
+    """Wait for a log entry; answered by ``StoreEntryRead`` or ``StoreReadFailed``.
+
+    The answer carries no data when the wait ended without the entry.
+
+    :param version: the version.
+    :param wait_ms: longest wait, in milliseconds; 0 reads at once.
+    """
+
+    version: int
+    wait_ms: int
+
+
+@dataclass(frozen=True)
+class WriteSnapshot(Effect):
+    """Write a snapshot; nothing is answered, and a failure is only reported.
+
+    :param version: version of the snapshot.
+    :param digest: SHA-256 of the document's canonical JSON, hexadecimal.
+    :param data: the compressed document.
+    """
+
+    version: int
+    digest: str
+    data: bytes
+
+
+@dataclass(frozen=True)
+class ReadSlots(Effect):
+    """Read the list of relay slots; answered by ``SlotsRead`` or ``StoreReadFailed``."""
+
+
+@dataclass(frozen=True)
+class CompeteForSlot(Effect):
+    """Keep trying to hold one of the relay slots of this node's data centre.
+
+    Answered by ``SlotObtained`` and ``SlotLost`` as they happen.
+    """
+
+
+@dataclass(frozen=True)
+class Report(Effect):
+    """Record one event in the log, the explain buffer and the metrics.
+
+    :param name: name of the event, lower case with dashes.
+    :param fields: pairs of field name and value.
+    """
+
+    name: str
+    fields: tuple[tuple[str, str | int | float | bool], ...] = ()
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -0,0 +1,237 @@
+"""Events of the control part: everything that can happen to a node besides requests.
+
+``now_ms`` is the node's monotonic clock in milliseconds on every event.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bamboonotch_core.messages import Message
+
+__all__ = [
+    "BackendServerAnnounced",
+    "DrainRequested",
+    "Event",
+    "LinkClosed",
+    "LinkFailed",
+    "LinkOpened",
+    "MessageReceived",
+    "PeerIdentity",
+    "ShutdownRequested",
+    "SlotHolder",
+    "SlotLost",
+    "SlotObtained",
+    "SlotsRead",
+    "StoreEntryRead",
+    "StoreNewestRead",
+    "StoreOperation",
+    "StoreReadFailed",
+    "Tick",
+    "UndrainRequested",
+]
+
+
+@dataclass(frozen=True)
+class Event:
+    """Base class of events.
+
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+
+    now_ms: float
+
+
+@dataclass(frozen=True)
+class Tick(Event):
+    """Comes every 100 ms; drives every timeout."""
+
+
+@dataclass(frozen=True)
+class PeerIdentity:
+    """Who is at the other end of a link, from its first message.
+
+    :param node_id: the peer.
+    :param incarnation: its incarnation.
+    :param region: its region.
+    :param data_centre: its data centre.
+    :param peer_address: ``ip:port`` where it takes streams.
+    """
+
+    node_id: str
+    incarnation: int
+    region: str
+    data_centre: str
+    peer_address: str
+
+
+@dataclass(frozen=True)
+class LinkOpened(Event):
+    """A control stream is open in both directions and the peer has named itself.
+
+    :param link_id: unique id of the stream within this process.
+    :param peer: who is at the other end.
+    :param outbound: whether this node dialled.
+    """
+
+    link_id: str
+    peer: PeerIdentity
+    outbound: bool
+
+
+@dataclass(frozen=True)
+class LinkClosed(Event):
+    """An open control stream ended.
+
+    :param link_id: the stream.
+    :param reason: why, for the log.
+    """
+
+    link_id: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class LinkFailed(Event):
+    """A control stream could not be opened.
+
+    :param address: the address dialled.
+    :param reason: why, for the log.
+    """
+
+    address: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class MessageReceived(Event):
+    """A control message arrived.
+
+    :param link_id: the stream.
+    :param message: the message.
+    """
+
+    link_id: str
+    message: Message
+
+
+@dataclass(frozen=True)
+class StoreOperation:
+    """Names a store read, so that its failure can be told from others.
+
+    :param name: ``read-newest``, ``read-entry``, ``watch-entry`` or ``read-slots``.
+    :param version: the version asked for, or 0.
+    """
+
+    name: str
+    version: int = 0
+
+
+@dataclass(frozen=True)
+class StoreEntryRead(Event):
+    """A read or watch of one log entry was answered.
+
+    :param version: the version asked for.
+    :param data: the entry's bytes, or ``None`` when the entry does not exist.
+    """
+
+    version: int
+    data: bytes | None
+
+
+@dataclass(frozen=True)
+class StoreNewestRead(Event):
+    """The newest snapshot and every log entry after it were read, up to an absent one.
+
+    :param snapshot_version: version of the snapshot, 0 when there is none.
+    :param snapshot_digest: SHA-256 of the snapshot's canonical JSON, hexadecimal, or empty.
+    :param snapshot: the compressed document, or empty.
+    :param entries: the entries after it, in order.
+    """
+
+    snapshot_version: int
+    snapshot_digest: str
+    snapshot: bytes
+    entries: tuple[bytes, ...]
+
+
+@dataclass(frozen=True)
+class StoreReadFailed(Event):
+    """A store read got no answer.
+
+    :param operation: what was asked.
+    :param reason: why, for the log.
+    """
+
+    operation: StoreOperation
+    reason: str
+
+
+@dataclass(frozen=True)
+class SlotHolder:
+    """One held relay slot, as the store lists it.
+
+    :param data_centre: data centre of the slot.
+    :param slot: number of the slot.
+    :param peer_address: ``ip:port`` of the holder.
+    """
+
+    data_centre: str
+    slot: int
+    peer_address: str
+
+
+@dataclass(frozen=True)
+class SlotsRead(Event):
+    """The list of relay slots was read.
+
+    :param holders: the held slots.
+    """
+
+    holders: tuple[SlotHolder, ...]
+
+
+@dataclass(frozen=True)
+class SlotObtained(Event):
+    """This node obtained a relay slot.
+
+    :param slot: number of the slot.
+    """
+
+    slot: int
+
+
+@dataclass(frozen=True)
+class SlotLost(Event):
+    """This node's lease on its relay slot ended or could not be renewed in time."""
+
+
+@dataclass(frozen=True)
+class BackendServerAnnounced(Event):
+    """The backend server beside this node announced itself.
+
+    :param service: its service.
+    :param address: ``ip:port`` where it takes requests.
+    :param slots: requests that it runs at once.
+    :param state: ``ready``, ``draining`` or ``stopped``.
+    """
+
+    service: str
+    address: str
+    slots: int
+    state: str
+
+
+@dataclass(frozen=True)
+class DrainRequested(Event):
+    """An operator asked this node to take no new work for its backend server."""
+
+
+@dataclass(frozen=True)
+class UndrainRequested(Event):
+    """An operator asked this node to take work again."""
+
+
+@dataclass(frozen=True)
+class ShutdownRequested(Event):
+    """The process was asked to end."""
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-package membership of the decision core."""
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-package outcomes of the decision core."""
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-package routing of the decision core."""
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -0,0 +1,183 @@
+"""Settings objects, passed whole to the parts they configure.
+
+``bamboonotch_node.settings`` reads them from an INI file. Each class is a section; each field is
+a key with its unit as the suffix.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+__all__ = [
+    "AdmissionSettings",
+    "DistributionSettings",
+    "IdentitySettings",
+    "MembershipSettings",
+    "NodeSettings",
+    "PushMode",
+    "RequestSettings",
+    "StoreSettings",
+]
+
+
+class PushMode(Enum):
+    """How a new version is offered to neighbours of the same region."""
+
+    EAGER = "eager"
+    ANNOUNCE = "announce"
+
+
+@dataclass(frozen=True)
+class IdentitySettings:
+    """Section ``[node]``: who and where this node is.
+
+    :param node_id: unique id of the node.
+    :param tenant: the customer whose fleet this is.
+    :param region: region of the VM.
+    :param data_centre: data centre of the VM.
+    :param peer_address: ``ip:port`` for streams between nodes.
+    :param http_address: ``ip:port`` for callers.
+    :param admin_address: ``ip:port`` for operators and the local backend server.
+    :param seed_addresses: peer addresses to try when the store does not answer.
+    """
+
+    node_id: str
+    tenant: str
+    region: str
+    data_centre: str
+    peer_address: str
+    http_address: str
+    admin_address: str
+    seed_addresses: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class StoreSettings:
+    """Section ``[store]``: the platform's key-value service.
+
+    :param address: ``ip:port`` of the service.
+    :param region: region that the service is in.
+    :param timeout_ms: longest wait for an answer, in milliseconds.
+    :param watch_ms: length of one waiting watch, in milliseconds.
+    :param lease_ms: lifetime of a relay slot's lease, in milliseconds.
+    :param slots_per_data_centre: relay slots of each data centre.
+    """
+
+    address: str
+    region: str
+    timeout_ms: int = 1000
+    watch_ms: int = 30_000
+    lease_ms: int = 10_000
+    slots_per_data_centre: int = 3
+
+
+@dataclass(frozen=True)
+class DistributionSettings:
+    """Section ``[distribution]``.
+
+    :param push: how a new version is offered within a region.
+    :param snapshot_interval_versions: versions between two snapshots in the store.
+    :param max_delta_versions: entries sent to a neighbour before a snapshot is cheaper.
+    :param witness_count: neighbours that remember what this node runs.
+    :param retry_ms: wait before a request without an answer is sent again, in milliseconds.
+    """
+
+    push: PushMode = PushMode.EAGER
+    snapshot_interval_versions: int = 16
+    max_delta_versions: int = 64
+    witness_count: int = 5
+    retry_ms: int = 1000
+
+
+@dataclass(frozen=True)
+class MembershipSettings:
+    """Section ``[membership]``.
+
+    :param heartbeat_interval_ms: time between two heartbeats on a link, in milliseconds.
+    :param silent_after_ms: silence after which a link is replaced, in milliseconds.
+    :param suspicion_ms: time that a suspected member has to refute, in milliseconds.
+    :param dead_retention_ms: how long the record of a dead member is kept, in milliseconds.
+    :param redial_ms: how long a dead member's address is dialled again, in milliseconds.
+    :param backoff_min_ms: first wait before dialling again, in milliseconds.
+    :param backoff_max_ms: longest wait before dialling again, in milliseconds.
+    :param announcement_timeout_ms: silence after which the local backend server counts as
+        stopped, in milliseconds.
+    :param max_members: records held at most.
+    """
+
+    heartbeat_interval_ms: int = 500
+    silent_after_ms: int = 1500
+    suspicion_ms: int = 1000
+    dead_retention_ms: int = 600_000
+    redial_ms: int = 60_000
+    backoff_min_ms: int = 100
+    backoff_max_ms: int = 5000
+    announcement_timeout_ms: int = 1500
+    max_members: int = 10_000
+
+
+@dataclass(frozen=True)
+class AdmissionSettings:
+    """Section ``[admission]``: the owner's side of a request.
+
+    :param max_attempts_kept: finished and fenced attempts remembered at most.
+    :param attempt_retention_ms: how long they are remembered, in milliseconds.
+    :param latency_factor: latency over the best seen at which concurrency is cut.
+    """
+
+    max_attempts_kept: int = 50_000
+    attempt_retention_ms: int = 60_000
+    latency_factor: float = 3.0
+
+
+@dataclass(frozen=True)
+class RequestSettings:
+    """Section ``[requests]``: the ingress side of a request.
+
+    :param max_requests: requests in progress at most.
+    :param max_body_bytes: largest request body, in bytes.
+    :param max_header_bytes: largest sum of header names and values, in bytes.
+    :param max_key_characters: longest request id or idempotency key, in characters.
+    :param owners_per_service: owners of one service used at most.
+    :param max_owners_tried: owners tried after proven refusals.
+    :param retry_budget_ratio: retries after dispatch, as a share of requests of a service.
+    :param ejection_failures: consecutive failures that eject an owner.
+    :param ejection_ms: length of the first ejection, in milliseconds; doubles up to 8 times.
+    :param fence_timeout_ms: longest wait for the answer to a fence, in milliseconds.
+    :param stream_silent_ms: silence after which a forward stream is replaced, in milliseconds.
+    :param shutdown_ms: longest wait for work in flight at shutdown, in milliseconds.
+    """
+
+    max_requests: int = 10_000
+    max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: int = 16 * 1024
+    max_key_characters: int = 128
+    owners_per_service: int = 12
+    max_owners_tried: int = 3
+    retry_budget_ratio: float = 0.1
+    ejection_failures: int = 3
+    ejection_ms: int = 1000
+    fence_timeout_ms: int = 1000
+    stream_silent_ms: int = 1500
+    shutdown_ms: int = 30_000
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """All settings of a node.
+
+    :param identity: section ``[node]``.
+    :param store: section ``[store]``.
+    :param distribution: section ``[distribution]``.
+    :param membership: section ``[membership]``.
+    :param admission: section ``[admission]``.
+    :param requests: section ``[requests]``.
+    """
+
+    identity: IdentitySettings
+    store: StoreSettings
+    distribution: DistributionSettings = field(default_factory=DistributionSettings)
+    membership: MembershipSettings = field(default_factory=MembershipSettings)
+    admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+    requests: RequestSettings = field(default_factory=RequestSettings)
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each backend server."""
--- /dev/null
+++ b/packages/store/src/bamboonotch_store/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter for the platform's key-value service."""
--- /dev/null
+++ b/packages/testing/src/bamboonotch_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, demo and measurement tools."""
--- /dev/null
+++ b/packages/wire/src/bamboonotch_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes and their protobuf encoding."""
