--- a/packages/core/src/bamboonotch_core/effects.py
+++ b/packages/core/src/bamboonotch_core/effects.py
@@ -15,6 +15,7 @@
     "ReadSlots",
     "Report",
     "SendMessage",
+    "StopProcess",
     "WatchEntry",
     "WriteSnapshot",
 ]
@@ -114,3 +115,8 @@
 
     name: str
     fields: tuple[tuple[str, str | int | float | bool], ...] = ()
+
+
+@dataclass(frozen=True)
+class StopProcess(Effect):
+    """End the process; all work in flight is done or its time is up."""
--- a/packages/core/src/bamboonotch_core/settings.py
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -40,6 +40,8 @@
     :param http_address: ``ip:port`` for callers.
     :param admin_address: ``ip:port`` for operators and the local backend server.
     :param seed_addresses: peer addresses to try when the store does not answer.
+    :param peer_listen_address: ``ip:port`` to bind for streams, when it differs from the address
+        that others dial; empty for the same.
     """
 
     node_id: str
@@ -50,6 +52,7 @@
     http_address: str
     admin_address: str
     seed_addresses: tuple[str, ...] = ()
+    peer_listen_address: str = ""
 
 
 @dataclass(frozen=True)
@@ -173,6 +176,8 @@
     :param membership: section ``[membership]``.
     :param admission: section ``[admission]``.
     :param requests: section ``[requests]``.
+    :param address_translation: section ``[address_translation]``: pairs of the peer address that a
+        node announces and the address that this node dials for it.
     """
 
     identity: IdentitySettings
@@ -181,3 +186,4 @@
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     admission: AdmissionSettings = field(default_factory=AdmissionSettings)
     requests: RequestSettings = field(default_factory=RequestSettings)
+    address_translation: tuple[tuple[str, str], ...] = ()
--- /dev/null
+++ b/packages/node/tests/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bamboonotch_node.settings."""
