--- a/packages/cli/src/bamboonotch_cli/__init__.py
+++ b/packages/cli/src/bamboonotch_cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command."""
+"""The operators' command; its documentation is ``docs/operators-command.md``."""
--- a/packages/cli/tests/__init__.py
+++ b/packages/cli/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of bamboonotch_cli."""
+"""Tests of the operators' command."""
--- a/packages/core/src/bamboonotch_core/admission/__init__.py
+++ b/packages/core/src/bamboonotch_core/admission/__init__.py
@@ -1,1 +1,27 @@
-"""Sub-package admission of the decision core."""
+"""The owner side of a request: slots, class queues, limits, claims, fences and drain."""
+
+from bamboonotch_core.admission._capacity import allowed_slots, hard_slots, is_draining
+from bamboonotch_core.admission._reducer import reduce_admission
+from bamboonotch_core.admission._state import (
+    AdmissionState,
+    BackendServer,
+    LiveAttempt,
+    Stage,
+    is_idle,
+    make_admission_state,
+    with_incarnation,
+)
+
+__all__ = [
+    "AdmissionState",
+    "BackendServer",
+    "LiveAttempt",
+    "Stage",
+    "allowed_slots",
+    "hard_slots",
+    "is_draining",
+    "is_idle",
+    "make_admission_state",
+    "reduce_admission",
+    "with_incarnation",
+]
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/admission/_dispatch.py
@@ -0,0 +1,122 @@
+"""Filling of free slots, highest priority first."""
+
+from __future__ import annotations
+
+from bamboonotch_core.admission._capacity import allowed_slots, hard_slots
+from bamboonotch_core.admission._ending import refuse
+from bamboonotch_core.admission._queue import oldest_id, remove
+from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
+from bamboonotch_core.configuration import Configuration
+from bamboonotch_core.effects import Effect
+from bamboonotch_core.outcomes import RefusalReason
+from bamboonotch_core.request_effects import ClaimKey, DispatchToBackend
+from bamboonotch_core.request_events import BackendResult
+from bamboonotch_core.routing import replace_fields
+from bamboonotch_core.transition import Transition
+
+__all__ = ["dispatch", "fill_slots", "start"]
+
+Step = Transition[AdmissionState]
+
+
+def dispatch(state: AdmissionState, attempt: LiveAttempt, now_ms: float) -> Step:
+    """Send an attempt that is in no queue to the backend server.
+
+    :param state: the state.
+    :param attempt: the attempt.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    running = replace_fields(attempt, stage=Stage.DISPATCHED, started_ms=now_ms, holds_slot=True)
+    state = replace_fields(
+        state,
+        slots_held=state.slots_held + (not attempt.holds_slot),
+        next_expiry_ms=min(state.next_expiry_ms, attempt.deadline_ms),
+        live=state.live.set(attempt.attempt_id, running),
+    )
+    return Transition(state, (DispatchToBackend(attempt.attempt_id),))
+
+
+def _claim(state: AdmissionState, attempt: LiveAttempt, now_ms: float) -> Step:
+    """Claim the key of an attempt; a slot is reserved unless the store has been slow."""
+    reserve = not state.claims_slow
+    claiming = replace_fields(attempt, stage=Stage.CLAIMING, started_ms=now_ms, holds_slot=reserve)
+    state = replace_fields(
+        state,
+        slots_held=state.slots_held + reserve,
+        claims_pending=state.claims_pending + 1,
+        next_expiry_ms=min(state.next_expiry_ms, attempt.deadline_ms),
+        live=state.live.set(attempt.attempt_id, claiming),
+    )
+    return Transition(state, (ClaimKey(attempt.attempt_id, attempt.claim_key),))
+
+
+def start(state: AdmissionState, attempt: LiveAttempt, now_ms: float) -> Step:
+    """Dispatch an attempt that is in no queue, or claim its key first.
+
+    :param state: the state.
+    :param attempt: the attempt.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    if attempt.claim_key:
+        return _claim(state, attempt, now_ms)
+    return dispatch(state, attempt, now_ms)
+
+
+def _next_queued(state: AdmissionState, may_claim: bool) -> LiveAttempt | None:
+    best: LiveAttempt | None = None
+    best_order = (0, 0)
+    for queue in state.queues.values():
+        attempt = state.live[oldest_id(queue)]
+        if attempt.claim_key and not may_claim:
+            continue
+        order = (queue.priority, attempt.ticket)
+        if best is None or order < best_order:
+            best, best_order = attempt, order
+    return best
+
+
+def _take_from_queue(state: AdmissionState, attempt: LiveAttempt) -> AdmissionState:
+    queue = remove(state.queues[attempt.request_class], attempt.place)
+    queues = (
+        state.queues.set(attempt.request_class, queue)
+        if queue.entries
+        else state.queues.delete(attempt.request_class)
+    )
+    return replace_fields(state, queues=queues, queued=state.queued - 1)
+
+
+def _start_next(state: AdmissionState, may_claim: bool, now_ms: float) -> Step | None:
+    if state.claimed:
+        attempt = state.live[state.claimed[0]]
+        if now_ms >= attempt.deadline_ms:
+            reason = RefusalReason.DEADLINE
+            return refuse(state, attempt.attempt_id, BackendResult.NOT_RUN, reason, now_ms)
+        return dispatch(replace_fields(state, claimed=state.claimed[1:]), attempt, now_ms)
+    queued = _next_queued(state, may_claim)
+    if queued is None:
+        return None
+    if now_ms >= queued.expires_ms:
+        reason = RefusalReason.QUEUE_TIMEOUT
+        return refuse(state, queued.attempt_id, BackendResult.NOT_RUN, reason, now_ms)
+    return start(_take_from_queue(state, queued), queued, now_ms)
+
+
+def fill_slots(state: AdmissionState, configuration: Configuration, now_ms: float) -> Step:
+    """Start waiting attempts while slots are free.
+
+    :param state: the state.
+    :param configuration: the running configuration.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    if not state.queued and not state.claimed:
+        return Transition(state)
+    allowed = allowed_slots(state, configuration, now_ms)
+    max_claims = hard_slots(state, configuration)
+    effects: list[Effect] = []
+    while state.slots_held < allowed:
+        step = _start_next(state, state.claims_pending < max_claims, now_ms)
+        if step is None:
+            break
+        state = step.state
+        effects.extend(step.effects)
+    return Transition(state, tuple(effects))
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/admission/_expiry.py
@@ -0,0 +1,106 @@
+"""Deadlines of queued and running work, and claims that take too long."""
+
+from __future__ import annotations
+
+import math
+
+from bamboonotch_core.admission._backend import check_silence, settle
+from bamboonotch_core.admission._capacity import allowed_slots
+from bamboonotch_core.admission._ending import refuse
+from bamboonotch_core.admission._fences import abort
+from bamboonotch_core.admission._limit import service_ms
+from bamboonotch_core.admission._memory import forget_expired
+from bamboonotch_core.admission._results import CLAIM_RESERVE_MS
+from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
+from bamboonotch_core.configuration import Configuration
+from bamboonotch_core.effects import Effect
+from bamboonotch_core.outcomes import RefusalReason
+from bamboonotch_core.request_events import BackendResult
+from bamboonotch_core.routing import replace_fields
+from bamboonotch_core.transition import Transition
+
+__all__ = ["expire"]
+
+Step = Transition[AdmissionState]
+
+
+def _due_ms(attempt: LiveAttempt) -> float:
+    if attempt.stage is Stage.QUEUED:
+        return attempt.expires_ms
+    return math.inf if attempt.aborted else attempt.deadline_ms
+
+
+def _expire_one(state: AdmissionState, attempt: LiveAttempt, now_ms: float) -> Step:
+    if attempt.stage is Stage.DISPATCHED:
+        return abort(state, attempt, cancelled=False)
+    late = now_ms >= attempt.deadline_ms
+    reason = RefusalReason.DEADLINE if late else RefusalReason.QUEUE_TIMEOUT
+    return refuse(state, attempt.attempt_id, BackendResult.NOT_RUN, reason, now_ms)
+
+
+def _expire_due(state: AdmissionState, now_ms: float) -> Step:
+    if now_ms < state.next_expiry_ms:
+        return Transition(state)
+    effects: list[Effect] = []
+    for attempt in state.live.values():
+        if now_ms >= _due_ms(attempt):
+            step = _expire_one(state, attempt, now_ms)
+            state = step.state
+            effects.extend(step.effects)
+    next_ms = min((_due_ms(attempt) for attempt in state.live.values()), default=math.inf)
+    return Transition(replace_fields(state, next_expiry_ms=next_ms), tuple(effects))
+
+
+def _release_slow_claims(state: AdmissionState, now_ms: float) -> AdmissionState:
+    """Give back the slots reserved for claims that the store is slow to answer."""
+    if not state.claims_pending:
+        return state
+    for attempt in state.live.values():
+        reserved = attempt.stage is Stage.CLAIMING and attempt.holds_slot
+        if reserved and now_ms - attempt.started_ms > CLAIM_RESERVE_MS:
+            waiting = replace_fields(attempt, holds_slot=False)
+            state = replace_fields(
+                state,
+                claims_slow=True,
+                slots_held=state.slots_held - 1,
+                live=state.live.set(attempt.attempt_id, waiting),
+            )
+    return state
+
+
+def _refuse_hopeless(state: AdmissionState, configuration: Configuration, now_ms: float) -> Step:
+    """Refuse queued work that cannot start in time any more, given the work ahead of it."""
+    if not state.queued or not state.limit.mean_ms:
+        return Transition(state)
+    slots = max(1, allowed_slots(state, configuration, now_ms))
+    waiting = [item for item in state.live.values() if item.stage is Stage.QUEUED]
+    queues = state.queues
+    waiting.sort(key=lambda item: (queues[item.request_class].priority, item.ticket))
+    ahead_ms = state.limit.mean_ms * len(state.claimed)
+    effects: list[Effect] = []
+    for attempt in waiting:
+        if now_ms + ahead_ms / slots >= attempt.expires_ms:
+            reason = RefusalReason.TOO_LATE
+            step = refuse(state, attempt.attempt_id, BackendResult.NOT_RUN, reason, now_ms)
+            state = step.state
+            effects.extend(step.effects)
+        else:
+            ahead_ms += service_ms(state.limit, attempt.request_class)
+    return Transition(state, tuple(effects))
+
+
+def expire(state: AdmissionState, configuration: Configuration, now_ms: float) -> Step:
+    """Carry out what is due.
+
+    :param state: the state.
+    :param configuration: the running configuration.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    state = check_silence(state, now_ms)
+    memory = forget_expired(state.memory, now_ms, state.settings.admission)
+    if memory is not state.memory:
+        state = replace_fields(state, memory=memory)
+    expired = _expire_due(_release_slow_claims(state, now_ms), now_ms)
+    hopeless = _refuse_hopeless(expired.state, configuration, now_ms)
+    settled = settle(hopeless.state, configuration, now_ms)
+    return Transition(settled.state, expired.effects + hopeless.effects + settled.effects)
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/admission/_reducer.py
@@ -0,0 +1,121 @@
+"""Reducer of the owner side."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from bamboonotch_core.admission._backend import announce, settle
+from bamboonotch_core.admission._capacity import is_draining
+from bamboonotch_core.admission._expiry import expire
+from bamboonotch_core.admission._fences import cancel, fence
+from bamboonotch_core.admission._offers import admit
+from bamboonotch_core.admission._results import finish_claim, finish_work
+from bamboonotch_core.admission._state import AdmissionState, is_idle
+from bamboonotch_core.configuration import Configuration
+from bamboonotch_core.effects import Report
+from bamboonotch_core.events import (
+    BackendServerAnnounced,
+    DrainRequested,
+    Event,
+    ShutdownRequested,
+    Tick,
+    UndrainRequested,
+)
+from bamboonotch_core.request_events import (
+    BackendFinished,
+    ClaimAnswered,
+    FenceReceived,
+    WorkCancelled,
+    WorkOffered,
+)
+from bamboonotch_core.routing import replace_fields
+from bamboonotch_core.transition import Transition
+
+__all__ = ["reduce_admission"]
+
+Step = Transition[AdmissionState]
+
+
+def reduce_admission(state: AdmissionState, event: Event, configuration: Configuration) -> Step:
+    """Handle one event of the owner side; events of other parts change nothing.
+
+    :param state: the state.
+    :param event: the event.
+    :param configuration: the running configuration.
+    """
+    step = _reduce(event, state, configuration)
+    if is_draining(step.state) is step.state.idle_reported:
+        return step
+    return _report_idle(step)
+
+
+def _report_idle(step: Step) -> Step:
+    """Report once when a drain has left no work, and again after the next drain."""
+    state = step.state
+    if not is_draining(state):
+        return Transition(replace_fields(state, idle_reported=False), step.effects)
+    if not is_idle(state):
+        return step
+    report = Report("drain-idle", (("service", state.backend.service),))
+    return Transition(replace_fields(state, idle_reported=True), (*step.effects, report))
+
+
+@singledispatch
+def _reduce(event: Event, state: AdmissionState, configuration: Configuration) -> Step:
+    return Transition(state)
+
+
+@_reduce.register
+def _on_offer(event: WorkOffered, state: AdmissionState, configuration: Configuration) -> Step:
+    return admit(state, event, configuration)
+
+
+@_reduce.register
+def _on_claim(event: ClaimAnswered, state: AdmissionState, configuration: Configuration) -> Step:
+    return finish_claim(state, event, configuration)
+
+
+@_reduce.register
+def _on_result(event: BackendFinished, state: AdmissionState, configuration: Configuration) -> Step:
+    return finish_work(state, event, configuration)
+
+
+@_reduce.register
+def _on_cancel(event: WorkCancelled, state: AdmissionState, configuration: Configuration) -> Step:
+    return cancel(state, event, configuration)
+
+
+@_reduce.register
+def _on_fence(event: FenceReceived, state: AdmissionState, configuration: Configuration) -> Step:
+    return fence(state, event, configuration)
+
+
+@_reduce.register
+def _on_tick(event: Tick, state: AdmissionState, configuration: Configuration) -> Step:
+    return expire(state, configuration, event.now_ms)
+
+
+@_reduce.register
+def _on_announcement(
+    event: BackendServerAnnounced, state: AdmissionState, configuration: Configuration
+) -> Step:
+    return announce(state, event, configuration)
+
+
+@_reduce.register
+def _on_drain(event: DrainRequested, state: AdmissionState, configuration: Configuration) -> Step:
+    return settle(replace_fields(state, draining=True), configuration, event.now_ms)
+
+
+@_reduce.register
+def _on_undrain(
+    event: UndrainRequested, state: AdmissionState, configuration: Configuration
+) -> Step:
+    return settle(replace_fields(state, draining=False), configuration, event.now_ms)
+
+
+@_reduce.register
+def _on_shutdown(
+    event: ShutdownRequested, state: AdmissionState, configuration: Configuration
+) -> Step:
+    return settle(replace_fields(state, shutting_down=True), configuration, event.now_ms)
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/admission/_results.py
@@ -0,0 +1,139 @@
+"""Answers of the store to claims, and results of the backend server."""
+
+from __future__ import annotations
+
+from bamboonotch_core.admission._capacity import allowed_slots, hard_slots
+from bamboonotch_core.admission._dispatch import dispatch, fill_slots
+from bamboonotch_core.admission._ending import refuse, remove_live
+from bamboonotch_core.admission._limit import ConcurrencyLimit, record_answer, record_refusal
+from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
+from bamboonotch_core.configuration import Configuration
+from bamboonotch_core.effects import Effect, Report
+from bamboonotch_core.outcomes import RefusalReason
+from bamboonotch_core.request_effects import RefuseWork
+from bamboonotch_core.request_events import (
+    BackendFinished,
+    BackendResult,
+    ClaimAnswered,
+    ClaimResult,
+    FenceState,
+)
+from bamboonotch_core.routing import replace_fields
+from bamboonotch_core.transition import Transition
+
+__all__ = ["CLAIM_RESERVE_MS", "finish_claim", "finish_work"]
+
+CLAIM_RESERVE_MS = 50.0  # the store answers in milliseconds; a slower one must not hold slots
+
+Step = Transition[AdmissionState]
+
+CLAIM_REASONS = {
+    ClaimResult.TAKEN: RefusalReason.CLAIM_TAKEN,
+    ClaimResult.UNAVAILABLE: RefusalReason.CLAIM_UNAVAILABLE,
+}
+
+
+def finish_claim(state: AdmissionState, event: ClaimAnswered, configuration: Configuration) -> Step:
+    """Dispatch an attempt whose claim was created, or refuse it as unknown.
+
+    :param state: the state.
+    :param event: the answer.
+    :param configuration: the running configuration.
+    """
+    attempt = state.live.get(event.attempt_id)
+    if attempt is None or attempt.stage is not Stage.CLAIMING:
+        return Transition(state)
+    slow = event.now_ms - attempt.started_ms > CLAIM_RESERVE_MS
+    slow = slow or event.result is ClaimResult.UNAVAILABLE
+    if slow is not state.claims_slow:
+        state = replace_fields(state, claims_slow=slow)
+    if event.result is ClaimResult.CREATED:
+        step = _use_claim(state, attempt, configuration, event.now_ms)
+    else:
+        reason = CLAIM_REASONS[event.result]
+        step = refuse(state, event.attempt_id, BackendResult.UNKNOWN, reason, event.now_ms)
+    filled = fill_slots(step.state, configuration, event.now_ms)
+    return Transition(filled.state, step.effects + filled.effects)
+
+
+def _use_claim(
+    state: AdmissionState, attempt: LiveAttempt, configuration: Configuration, now_ms: float
+) -> Step:
+    not_run = BackendResult.NOT_RUN
+    if now_ms >= attempt.deadline_ms:
+        return refuse(state, attempt.attempt_id, not_run, RefusalReason.DEADLINE, now_ms)
+    if hard_slots(state, configuration) < 1:
+        return refuse(state, attempt.attempt_id, not_run, RefusalReason.NOT_READY, now_ms)
+    state = replace_fields(state, claims_pending=state.claims_pending - 1)
+    if attempt.holds_slot or state.slots_held < allowed_slots(state, configuration, now_ms):
+        return dispatch(state, attempt, now_ms)
+    waiting = replace_fields(attempt, stage=Stage.CLAIMED)
+    state = replace_fields(
+        state,
+        claimed=(*state.claimed, attempt.attempt_id),
+        live=state.live.set(attempt.attempt_id, waiting),
+    )
+    return Transition(state)
+
+
+def finish_work(
+    state: AdmissionState, event: BackendFinished, configuration: Configuration
+) -> Step:
+    """Free the slot of an attempt that ended and start the next.
+
+    :param state: the state.
+    :param event: the result.
+    :param configuration: the running configuration.
+    """
+    attempt = state.live.get(event.attempt_id)
+    if attempt is None or attempt.stage is not Stage.DISPATCHED:
+        return Transition(state)
+    limit = _measure(state, attempt, event, configuration)
+    reports = _report_cut(state, limit, configuration)
+    not_run = event.result is BackendResult.NOT_RUN
+    fence_state = FenceState.NOT_RUN if not_run else FenceState.FINISHED
+    state = remove_live(state, attempt, fence_state, event.now_ms)
+    state = replace_fields(state, limit=limit)
+    refusals: tuple[Effect, ...] = ()
+    if event.result is not BackendResult.DONE and not attempt.cancelled:
+        reason = RefusalReason.BACKEND_NOT_RUN if not_run else RefusalReason.BACKEND_LOST
+        refusals = (RefuseWork(event.attempt_id, event.result, reason, len(state.live)),)
+    filled = fill_slots(state, configuration, event.now_ms)
+    return Transition(filled.state, refusals + filled.effects + reports)
+
+
+def _measure(
+    state: AdmissionState,
+    attempt: LiveAttempt,
+    event: BackendFinished,
+    configuration: Configuration,
+) -> ConcurrencyLimit:
+    slots = hard_slots(state, configuration)
+    if not slots or attempt.aborted:
+        return state.limit
+    if event.result is BackendResult.NOT_RUN:
+        return record_refusal(state.limit, slots, event.now_ms)
+    if event.result is BackendResult.UNKNOWN:
+        return state.limit
+    return record_answer(
+        state.limit,
+        attempt.request_class,
+        event.latency_ms,
+        state.slots_held >= int(min(state.limit.value, slots)),
+        slots,
+        state.settings.admission.latency_factor,
+        event.now_ms,
+    )
+
+
+def _report_cut(
+    state: AdmissionState, limit: ConcurrencyLimit, configuration: Configuration
+) -> tuple[Effect, ...]:
+    """Report a cut that takes a whole slot away."""
+    slots = hard_slots(state, configuration)
+    before = int(min(state.limit.value, slots))
+    after = int(min(limit.value, slots))
+    if after >= before:
+        return ()
+    fields = (("service", state.backend.service), ("before", before), ("after", after))
+    return (Report("concurrency-limit-cut", fields),)
--- a/packages/core/src/bamboonotch_core/membership/__init__.py
+++ b/packages/core/src/bamboonotch_core/membership/__init__.py
@@ -1,1 +1,55 @@
-"""Sub-package membership of the decision core."""
+"""Member records, overlay neighbours, suspicion, relay slots and gateways."""
+
+from bamboonotch_core.member_record import MemberRecord, MemberState
+from bamboonotch_core.membership._reducer import finish_shutdown, reduce_membership
+from bamboonotch_core.membership._state import (
+    LocalVersions,
+    MembershipState,
+    make_membership_state,
+)
+from bamboonotch_core.membership._views import (
+    LinkKind,
+    Neighbour,
+    backend_server_address,
+    find_member,
+    is_draining,
+    is_lowest_slot,
+    is_operator_drained,
+    is_region_usable,
+    is_store_reader,
+    link_kind,
+    live_members,
+    members_of_service,
+    neighbours,
+    overlay_neighbours,
+    own_record,
+    ready_services,
+    routing_generation,
+)
+
+__all__ = [
+    "LinkKind",
+    "LocalVersions",
+    "MemberRecord",
+    "MemberState",
+    "MembershipState",
+    "Neighbour",
+    "backend_server_address",
+    "find_member",
+    "finish_shutdown",
+    "is_draining",
+    "is_lowest_slot",
+    "is_operator_drained",
+    "is_region_usable",
+    "is_store_reader",
+    "link_kind",
+    "live_members",
+    "make_membership_state",
+    "members_of_service",
+    "neighbours",
+    "overlay_neighbours",
+    "own_record",
+    "ready_services",
+    "reduce_membership",
+    "routing_generation",
+]
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/outcomes/_budget.py
@@ -0,0 +1,43 @@
+"""Token bucket that keeps retries to a share of the requests of a service.
+
+A bucket starts empty and gains a share of a token with each first attempt, so that since the start
+of the process the retries never exceed that share.
+"""
+
+from __future__ import annotations
+
+from immutables import Map
+
+from bamboonotch_core.outcomes._state import OutcomeState
+from bamboonotch_core.routing import replace_fields
+
+__all__ = ["earn_token", "take_token"]
+
+MAX_TOKENS = 20.0  # retries in a burst after a quiet time
+TOKEN_COST = 1.0
+ROUNDING = 1e-9  # ten times a tenth of a token must count as one
+
+
+def earn_token(state: OutcomeState, service: str) -> Map[str, float]:
+    """Return the tokens with the share that one request earns.
+
+    :param state: the state.
+    :param service: service of the request.
+    """
+    tokens = state.tokens.get(service, 0.0)
+    if tokens >= MAX_TOKENS:
+        return state.tokens
+    tokens = min(MAX_TOKENS, tokens + state.settings.requests.retry_budget_ratio)
+    return state.tokens.set(service, tokens)
+
+
+def take_token(state: OutcomeState, service: str) -> OutcomeState | None:
+    """Take the token for one retry, or return ``None`` when there is none.
+
+    :param state: the state.
+    :param service: service of the request.
+    """
+    tokens = state.tokens.get(service, 0.0)
+    if tokens + ROUNDING < TOKEN_COST:
+        return None
+    return replace_fields(state, tokens=state.tokens.set(service, max(0.0, tokens - TOKEN_COST)))
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/outcomes/_reasons.py
@@ -0,0 +1,44 @@
+"""Reasons of refusals and answers, as sent in ``Bamboonotch-Reason``."""
+
+from __future__ import annotations
+
+__all__ = ["AnswerReason", "RefusalReason"]
+
+
+class RefusalReason:
+    """Why an owner ended an attempt without a response."""
+
+    BACKEND_NOT_RUN = "backend-not-run"
+    BACKEND_LOST = "backend-lost"
+    CANCELLED = "cancelled"
+    CLAIM_TAKEN = "claim-taken"
+    CLAIM_UNAVAILABLE = "claim-unavailable"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    EVICTED = "evicted"
+    FENCED = "fenced"
+    FORGOTTEN = "forgotten"
+    NOT_READY = "not-ready"
+    OTHER_INCARNATION = "other-incarnation"
+    QUEUE_FULL = "queue-full"
+    QUEUE_TIMEOUT = "queue-timeout"
+    TOO_LATE = "cannot-start-in-time"
+    UNKNOWN_CLASS = "unknown-class"
+    WRONG_SERVICE = "wrong-service"
+
+
+class AnswerReason:
+    """Why the ingress answers a caller without a response of a backend server."""
+
+    CONNECTION_FAILED = "connection-failed"
+    DEADLINE = "deadline"
+    KEY_FROM_FUTURE = "idempotency-key-from-future"
+    KEY_MALFORMED = "malformed-idempotency-key"
+    KEY_TOO_OLD = "idempotency-key-too-old"
+    NO_OWNER = "no-owner-available"
+    NOT_SERVING = "not-serving"
+    OWNER_LOST = "owner-lost"
+    RESPONSE_LOST = "response-lost"
+    SHUTTING_DOWN = "shutting-down"
+    TIMEOUT_MALFORMED = "malformed-timeout"
+    TOO_MANY_REQUESTS = "too-many-requests"
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/outcomes/_reducer.py
@@ -0,0 +1,290 @@
+"""Reducer of the ingress side."""
+
+from __future__ import annotations
+
+import math
+from functools import singledispatch
+
+from immutables import Map
+
+from bamboonotch_core.effects import Effect
+from bamboonotch_core.events import Event, ShutdownRequested, Tick
+from bamboonotch_core.outcomes._answers import answer
+from bamboonotch_core.outcomes._attempts import (
+    end_attempt,
+    forward,
+    on_not_run,
+    on_unknown,
+)
+from bamboonotch_core.outcomes._expiry import cancel_effects, expire, fence_effect
+from bamboonotch_core.outcomes._keys import check_key
+from bamboonotch_core.outcomes._reasons import AnswerReason, RefusalReason
+from bamboonotch_core.outcomes._state import OutcomeState, PendingRequest, Phase
+from bamboonotch_core.request_effects import Outcome, PassResponse
+from bamboonotch_core.request_events import (
+    AttemptLost,
+    BackendResult,
+    CallerGone,
+    FenceAnswered,
+    FenceState,
+    OwnerRefused,
+    OwnerReply,
+    OwnerResponded,
+    RequestArrived,
+    ResponseFinished,
+)
+from bamboonotch_core.routing import (
+    NoMatch,
+    OwnerView,
+    RouteMatch,
+    RoutingTable,
+    Verdict,
+    match_route,
+    record_load,
+    record_refusal,
+    replace_fields,
+)
+from bamboonotch_core.transition import Transition
+
+__all__ = ["reduce_outcomes"]
+
+AVOID_BUSY_MS = 100.0  # about the time in which a queue of short requests moves
+AVOID_LEAVING_MS = 2000.0  # membership has spread the draining state by then
+LEAVING_REASONS = frozenset(
+    {RefusalReason.DRAINING, RefusalReason.NOT_READY, RefusalReason.WRONG_SERVICE}
+)
+BUSY_REASONS = frozenset(
+    {
+        RefusalReason.BACKEND_NOT_RUN,
+        RefusalReason.EVICTED,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.QUEUE_TIMEOUT,
+        RefusalReason.TOO_LATE,
+    }
+)
+
+Step = Transition[OutcomeState]
+
+
+def reduce_outcomes(state: OutcomeState, event: Event, table: RoutingTable) -> Step:
+    """Handle one event of the ingress side; events of other parts change nothing.
+
+    :param state: the state.
+    :param event: the event.
+    :param table: the routing table in use.
+    """
+    return _reduce(event, state, table)
+
+
+@singledispatch
+def _reduce(event: Event, state: OutcomeState, table: RoutingTable) -> Step:
+    return Transition(state)
+
+
+@_reduce.register
+def _on_shutdown(event: ShutdownRequested, state: OutcomeState, table: RoutingTable) -> Step:
+    return Transition(replace_fields(state, shutting_down=True))
+
+
+@_reduce.register
+def _on_tick(event: Tick, state: OutcomeState, table: RoutingTable) -> Step:
+    return expire(state, table, event.now_ms)
+
+
+def _refusal_at_arrival(
+    state: OutcomeState, event: RequestArrived, table: RoutingTable, match: RouteMatch
+) -> str:
+    room = state.settings.requests.max_requests * match.room_share
+    if match.inactive_reason:
+        return match.inactive_reason
+    if event.timeout_ms is not None and not event.timeout_ms > 0:
+        return AnswerReason.TIMEOUT_MALFORMED
+    if len(state.requests) >= room:
+        return AnswerReason.TOO_MANY_REQUESTS
+    if event.idempotency_key and not match.route.idempotent:
+        return check_key(event.idempotency_key, event.unix_ms)
+    return ""
+
+
+@_reduce.register
+def _on_arrival(event: RequestArrived, state: OutcomeState, table: RoutingTable) -> Step:
+    if event.request_id in state.requests:
+        return Transition(state)
+    if state.shutting_down or not table.serving:
+        reason = AnswerReason.SHUTTING_DOWN if state.shutting_down else AnswerReason.NOT_SERVING
+        return Transition(state, (answer(event.request_id, Outcome.NOT_RUN, reason),))
+    match = match_route(table, event.method, event.path)
+    if isinstance(match, NoMatch):
+        return Transition(state, (answer(event.request_id, Outcome.NOT_RUN, match.reason),))
+    reason = _refusal_at_arrival(state, event, table, match)
+    if reason:
+        return Transition(state, (answer(event.request_id, Outcome.NOT_RUN, reason),))
+    request = _pending_request(event, match)
+    return forward(state, request, table, event.now_ms, "")
+
+
+def _pending_request(event: RequestArrived, match: RouteMatch) -> PendingRequest:
+    route = match.route
+    timeout_ms: float = route.timeout_ms
+    if event.timeout_ms is not None:
+        timeout_ms = min(timeout_ms, event.timeout_ms)
+    return PendingRequest(
+        request_id=event.request_id,
+        service=route.service,
+        request_class=route.request_class,
+        idempotent=route.idempotent,
+        idempotency_key=event.idempotency_key,
+        deadline_ms=event.now_ms + timeout_ms,
+        arrived_attempt=event.attempt,
+        header_attempt=event.attempt,
+    )
+
+
+def _current(state: OutcomeState, event: OwnerReply) -> PendingRequest | None:
+    """Return the request when the reply speaks of its current attempt."""
+    request = state.requests.get(event.request_id)
+    if request is None or request.attempt is None:
+        return None
+    return request if request.attempt.attempt_id == event.attempt_id else None
+
+
+def _views_with_load(
+    state: OutcomeState, request: PendingRequest, load: int, reason: str, now_ms: float
+) -> Map[str, OwnerView]:
+    """Return the views after the owner of the current attempt reported its load."""
+    owner = request.attempt.owner if request.attempt else None
+    view = state.views.get(owner.node_id) if owner else None
+    if owner is None or view is None or view.incarnation != owner.incarnation:
+        return state.views
+    view = record_load(view, load, now_ms)
+    if reason in BUSY_REASONS:
+        view = record_refusal(view, AVOID_BUSY_MS, now_ms)
+    elif reason in LEAVING_REASONS:
+        view = record_refusal(view, AVOID_LEAVING_MS, now_ms)
+    return state.views.set(owner.node_id, view)
+
+
+def _and_then(step: Step, before: tuple[Effect, ...] = (), after: tuple[Effect, ...] = ()) -> Step:
+    return Transition(step.state, (*before, *step.effects, *after))
+
+
+def _end_truncated(state: OutcomeState, request: PendingRequest, now_ms: float) -> Step:
+    """Forget a request whose response broke off after its head was passed to the caller."""
+    state, reports = end_attempt(state, request, Verdict.FAILED, now_ms)
+    return Transition(state, reports)
+
+
+@_reduce.register
+def _on_response(event: OwnerResponded, state: OutcomeState, table: RoutingTable) -> Step:
+    request = _current(state, event)
+    if request is None or request.phase is Phase.RESPONDING:
+        return Transition(state)
+    responding = replace_fields(request, phase=Phase.RESPONDING, check_ms=math.inf)
+    state = replace_fields(
+        state,
+        requests=state.requests.set(request.request_id, responding),
+        views=_views_with_load(state, request, event.load, "", event.now_ms),
+    )
+    return Transition(state, (PassResponse(event.request_id, event.attempt_id),))
+
+
+@_reduce.register
+def _on_refusal(event: OwnerRefused, state: OutcomeState, table: RoutingTable) -> Step:
+    request = _current(state, event)
+    if request is None:
+        return Transition(state)
+    if request.phase is Phase.RESPONDING:
+        return _end_truncated(state, request, event.now_ms)
+    views = _views_with_load(state, request, event.load, event.reason, event.now_ms)
+    state = replace_fields(state, views=views)
+    lost = event.reason == RefusalReason.BACKEND_LOST
+    verdict = Verdict.FAILED if lost else Verdict.ALIVE
+    state, reports = end_attempt(state, request, verdict, event.now_ms)
+    if event.result is BackendResult.NOT_RUN:
+        reached_backend = event.reason == RefusalReason.BACKEND_NOT_RUN
+        step = on_not_run(state, request, table, event.now_ms, event.reason, reached_backend)
+    else:
+        step = on_unknown(state, request, table, event.now_ms, event.reason)
+    return _and_then(step, after=reports)
+
+
+@_reduce.register
+def _on_loss(event: AttemptLost, state: OutcomeState, table: RoutingTable) -> Step:
+    request = _current(state, event)
+    if request is None or request.phase in (Phase.FENCING, Phase.RUNNING):
+        return Transition(state)
+    if request.phase is Phase.RESPONDING:
+        return _end_truncated(state, request, event.now_ms)
+    if event.sent:
+        return _start_fence(state, request, event.now_ms)
+    state, reports = end_attempt(state, request, Verdict.FAILED, event.now_ms)
+    step = on_not_run(state, request, table, event.now_ms, AnswerReason.CONNECTION_FAILED, False)
+    return _and_then(step, after=reports)
+
+
+def _start_fence(state: OutcomeState, request: PendingRequest, now_ms: float) -> Step:
+    check_ms = now_ms + state.settings.requests.fence_timeout_ms
+    fencing = replace_fields(request, phase=Phase.FENCING, check_ms=check_ms)
+    state = replace_fields(
+        state,
+        requests=state.requests.set(request.request_id, fencing),
+        next_check_ms=min(state.next_check_ms, check_ms),
+    )
+    return Transition(state, fence_effect(fencing))
+
+
+@_reduce.register
+def _on_fence(event: FenceAnswered, state: OutcomeState, table: RoutingTable) -> Step:
+    request = _current(state, event)
+    if request is None or request.phase not in (Phase.FENCING, Phase.RUNNING):
+        return Transition(state)
+    if event.state is FenceState.RUNNING:
+        return _on_running(state, request, table, event.now_ms)
+    failed = event.state is FenceState.UNKNOWN
+    verdict = Verdict.FAILED if failed else Verdict.ALIVE
+    state, reports = end_attempt(state, request, verdict, event.now_ms)
+    if event.state is FenceState.NOT_RUN:
+        step = on_not_run(state, request, table, event.now_ms, RefusalReason.FENCED, False)
+    else:
+        reason = AnswerReason.OWNER_LOST if failed else AnswerReason.RESPONSE_LOST
+        step = on_unknown(state, request, table, event.now_ms, reason)
+    return _and_then(step, after=reports)
+
+
+def _on_running(
+    state: OutcomeState, request: PendingRequest, table: RoutingTable, now_ms: float
+) -> Step:
+    """Retry idempotent work elsewhere, or wait for the attempt that still runs."""
+    if request.idempotent:
+        ended, reports = end_attempt(state, request, Verdict.ALIVE, now_ms)
+        step = on_unknown(ended, request, table, now_ms, AnswerReason.RESPONSE_LOST)
+        if request.request_id in step.state.requests:
+            return _and_then(step, cancel_effects(request), reports)
+    check_ms = now_ms + state.settings.requests.fence_timeout_ms
+    running = replace_fields(request, phase=Phase.RUNNING, check_ms=check_ms)
+    state = replace_fields(
+        state,
+        requests=state.requests.set(request.request_id, running),
+        next_check_ms=min(state.next_check_ms, check_ms),
+    )
+    return Transition(state)
+
+
+@_reduce.register
+def _on_response_end(event: ResponseFinished, state: OutcomeState, table: RoutingTable) -> Step:
+    request = state.requests.get(event.request_id)
+    if request is None or request.phase is not Phase.RESPONDING:
+        return Transition(state)
+    if not event.complete:
+        return _end_truncated(state, request, event.now_ms)
+    state, reports = end_attempt(state, request, Verdict.ALIVE, event.now_ms)
+    return Transition(state, reports)
+
+
+@_reduce.register
+def _on_caller_gone(event: CallerGone, state: OutcomeState, table: RoutingTable) -> Step:
+    request = state.requests.get(event.request_id)
+    if request is None:
+        return Transition(state)
+    state, reports = end_attempt(state, request, Verdict.NONE, event.now_ms)
+    return Transition(state, (*cancel_effects(request), *reports))
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -0,0 +1,181 @@
+"""The composed reducer of a node."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from functools import singledispatch
+
+from bamboonotch_core._membership_view import refresh_view
+from bamboonotch_core.admission import is_idle, reduce_admission, with_incarnation
+from bamboonotch_core.distribution import reduce_distribution
+from bamboonotch_core.effects import Effect, StopProcess
+from bamboonotch_core.events import (
+    BackendServerAnnounced,
+    DrainRequested,
+    Event,
+    ShutdownRequested,
+    Tick,
+    UndrainRequested,
+)
+from bamboonotch_core.membership import (
+    LocalVersions,
+    finish_shutdown,
+    members_of_service,
+    own_record,
+    ready_services,
+    reduce_membership,
+    routing_generation,
+)
+from bamboonotch_core.outcomes import reduce_outcomes
+from bamboonotch_core.request_events import (
+    BackendFinished,
+    CallerGone,
+    ClaimAnswered,
+    FenceReceived,
+    OwnerReply,
+    RequestArrived,
+    ResponseFinished,
+    WorkCancelled,
+    WorkOffered,
+)
+from bamboonotch_core.routing import NOT_SERVING_TABLE, build_routing_table
+from bamboonotch_core.state import NodeState
+from bamboonotch_core.transition import Transition
+
+__all__ = ["reduce"]
+
+# Time for the draining record to reach the nodes that send work here.
+SHUTDOWN_SPREAD_MS = 1500
+# Time for the stopped record to leave this process.
+STOP_DELAY_MS = 300
+
+NodeTransition = Transition[NodeState]
+
+
+def reduce(state: NodeState, event: Event) -> NodeTransition:
+    """Return the state after an event and the effects of it.
+
+    :param state: the state before.
+    :param event: what happened.
+    """
+    return _reduce_event(event, state)
+
+
+@singledispatch
+def _reduce_event(event: Event, state: NodeState) -> NodeTransition:
+    """Reduce an event of the control part, which is the default."""
+    versions = _local_versions(state)
+    membership = reduce_membership(state.membership, event, versions)
+    view = refresh_view(state.view, state.membership, membership.state)
+    distribution = reduce_distribution(state.distribution, event, view)
+    after = replace(
+        state,
+        membership=membership.state,
+        view=view,
+        distribution=distribution.state,
+        admission=with_incarnation(state.admission, own_record(membership.state).incarnation),
+    )
+    return Transition(_update_table(state, after), membership.effects + distribution.effects)
+
+
+def _local_versions(state: NodeState) -> LocalVersions:
+    distribution = state.distribution
+    return LocalVersions(
+        distribution.held_version, distribution.running_version, distribution.serving
+    )
+
+
+def _update_table(before: NodeState, after: NodeState) -> NodeState:
+    """Rebuild the routing table when the running version or the usable members changed."""
+    distribution = after.distribution
+    unchanged = (
+        distribution.running_version == before.distribution.running_version
+        and distribution.serving == before.distribution.serving
+        and routing_generation(after.membership) == routing_generation(before.membership)
+    )
+    if unchanged:
+        return after
+    if not distribution.serving:
+        return replace(after, table=NOT_SERVING_TABLE)
+    membership = after.membership
+    members = {
+        service: members_of_service(membership, service) for service in ready_services(membership)
+    }
+    table = build_routing_table(
+        distribution.running_configuration, distribution.running_version, members, before.table
+    )
+    return replace(after, table=table)
+
+
+def _reduce_ingress(event: Event, state: NodeState) -> NodeTransition:
+    outcomes = reduce_outcomes(state.outcomes, event, state.table)
+    return Transition(replace(state, outcomes=outcomes.state), outcomes.effects)
+
+
+def _reduce_owner(event: Event, state: NodeState) -> NodeTransition:
+    configuration = state.distribution.running_configuration
+    admission = reduce_admission(state.admission, event, configuration)
+    return Transition(replace(state, admission=admission.state), admission.effects)
+
+
+def _reduce_control(event: Event, state: NodeState) -> NodeTransition:
+    return _reduce_event.dispatch(Event)(event, state)
+
+
+def _reduce_all(event: Event, state: NodeState) -> NodeTransition:
+    """Reduce an event that concerns every part."""
+    effects: list[Effect] = []
+    for part in (_reduce_control, _reduce_owner, _reduce_ingress):
+        transition = part(event, state)
+        state = transition.state
+        effects.extend(transition.effects)
+    return Transition(state, tuple(effects))
+
+
+_REDUCERS: dict[Callable[[Event, NodeState], NodeTransition], tuple[type[Event], ...]] = {
+    _reduce_ingress: (RequestArrived, OwnerReply, ResponseFinished, CallerGone),
+    _reduce_owner: (WorkOffered, ClaimAnswered, BackendFinished, WorkCancelled, FenceReceived),
+    _reduce_all: (BackendServerAnnounced, DrainRequested, UndrainRequested),
+}
+for _reducer, _event_types in _REDUCERS.items():
+    for _event_type in _event_types:
+        _reduce_event.register(_event_type, _reducer)
+
+
+@_reduce_event.register
+def _(event: ShutdownRequested, state: NodeState) -> NodeTransition:
+    if state.shutdown_deadline_ms is not None:
+        return Transition(state)
+    transition = _reduce_all(event, state)
+    limit_ms = state.membership.settings.requests.shutdown_ms
+    state = replace(
+        transition.state,
+        shutdown_deadline_ms=event.now_ms + limit_ms,
+        shutdown_idle_after_ms=event.now_ms + SHUTDOWN_SPREAD_MS,
+    )
+    return Transition(state, transition.effects)
+
+
+@_reduce_event.register
+def _(event: Tick, state: NodeState) -> NodeTransition:
+    transition = _reduce_all(event, state)
+    state = transition.state
+    if state.stop_ms is not None:
+        stop = (StopProcess(),) if event.now_ms >= state.stop_ms else ()
+        return Transition(state, transition.effects + stop)
+    if not _may_leave(state, event.now_ms):
+        return transition
+    leaving = finish_shutdown(state.membership, event.now_ms, _local_versions(state))
+    state = replace(state, membership=leaving.state, stop_ms=event.now_ms + STOP_DELAY_MS)
+    return Transition(state, transition.effects + leaving.effects)
+
+
+def _may_leave(state: NodeState, now_ms: float) -> bool:
+    """Tell whether a process that shuts down has no work left, or no time."""
+    if state.shutdown_deadline_ms is None:
+        return False
+    if now_ms >= state.shutdown_deadline_ms:
+        return True
+    idle = is_idle(state.admission) and not state.outcomes.requests
+    return idle and now_ms >= state.shutdown_idle_after_ms
--- a/packages/core/src/bamboonotch_core/routing/__init__.py
+++ b/packages/core/src/bamboonotch_core/routing/__init__.py
@@ -1,1 +1,73 @@
-"""Sub-package routing of the decision core."""
+"""Routes, owners of a service and the choice between them."""
+
+from bamboonotch_core.routing._candidates import CandidateSet, Distance, select_candidates
+from bamboonotch_core.routing._choice import (
+    OwnerChoice,
+    OwnerRating,
+    Standing,
+    choose_owner,
+    rate_candidates,
+)
+from bamboonotch_core.routing._explain import (
+    ConsideredRoute,
+    ExplainedOwner,
+    RouteExplanation,
+    explain_route,
+)
+from bamboonotch_core.routing._owner_view import (
+    OwnerView,
+    Verdict,
+    ViewChange,
+    count_ejected,
+    record_end,
+    record_forward,
+    record_load,
+    record_refusal,
+    view_of,
+)
+from bamboonotch_core.routing._replace import replace_fields
+from bamboonotch_core.routing._table import (
+    NOT_SERVING_TABLE,
+    NoMatch,
+    NoMatchReason,
+    Owner,
+    RouteMatch,
+    RoutingTable,
+    ServiceOwners,
+    build_routing_table,
+    match_route,
+)
+
+__all__ = [
+    "NOT_SERVING_TABLE",
+    "CandidateSet",
+    "ConsideredRoute",
+    "Distance",
+    "ExplainedOwner",
+    "NoMatch",
+    "NoMatchReason",
+    "Owner",
+    "OwnerChoice",
+    "OwnerRating",
+    "OwnerView",
+    "RouteExplanation",
+    "RouteMatch",
+    "RoutingTable",
+    "ServiceOwners",
+    "Standing",
+    "Verdict",
+    "ViewChange",
+    "build_routing_table",
+    "choose_owner",
+    "count_ejected",
+    "explain_route",
+    "match_route",
+    "rate_candidates",
+    "record_end",
+    "record_forward",
+    "record_load",
+    "record_refusal",
+    "replace_fields",
+    "select_candidates",
+    "view_of",
+]
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/routing/_random.py
@@ -0,0 +1,28 @@
+"""Pseudo-random numbers from a seed that the caller keeps in its state."""
+
+from __future__ import annotations
+
+__all__ = ["draw_below", "next_seed"]
+
+MASK_64_BITS = (1 << 64) - 1
+MULTIPLIER = 6364136223846793005  # Knuth's MMIX linear congruential generator
+INCREMENT = 1442695040888963407
+
+
+def next_seed(seed: int) -> int:
+    """Return the seed that follows.
+
+    :param seed: the seed in use.
+    """
+    return (seed * MULTIPLIER + INCREMENT) & MASK_64_BITS
+
+
+def draw_below(seed: int, bound: int) -> int:
+    """Return a number from 0 to ``bound`` - 1.
+
+    The high bits are used because the low bits of this generator have short periods.
+
+    :param seed: the seed in use.
+    :param bound: at least 1.
+    """
+    return ((seed >> 32) * bound) >> 32
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/routing/_table.py
@@ -0,0 +1,200 @@
+"""The effective routing table: one immutable value, swapped whole."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from immutables import Map
+
+from bamboonotch_core.configuration import (
+    EMPTY_CONFIGURATION,
+    Configuration,
+    RequestClass,
+    Route,
+)
+from bamboonotch_core.member_record import MemberRecord, MemberState
+from bamboonotch_core.routing._index import RouteIndex, build_index, matching_prefixes, path_of
+
+__all__ = [
+    "NOT_SERVING_TABLE",
+    "NoMatch",
+    "NoMatchReason",
+    "Owner",
+    "RouteMatch",
+    "RoutingTable",
+    "ServiceOwners",
+    "build_routing_table",
+    "match_route",
+]
+
+NO_READY_BACKEND_SERVER = "no-ready-backend-server"
+USABLE_STATES = frozenset({MemberState.READY, MemberState.SUSPECT})
+
+
+@dataclass(frozen=True)
+class Owner:
+    """A node with a ready backend server beside it.
+
+    :param node_id: id of the node.
+    :param incarnation: incarnation of the node's process.
+    :param peer_address: ``ip:port`` for streams.
+    :param region: region of the node.
+    :param data_centre: data centre of the node.
+    :param slots: requests that its backend server runs at once.
+    :param suspect: whether a neighbour reports the node as silent.
+    """
+
+    node_id: str
+    incarnation: int
+    peer_address: str
+    region: str
+    data_centre: str
+    slots: int
+    suspect: bool
+
+
+@dataclass(frozen=True)
+class ServiceOwners:
+    """The owners of one service.
+
+    :param service: name of the service.
+    :param records: the member records that the owners were taken from.
+    :param owners: the usable owners, in the order of the records.
+    """
+
+    service: str
+    records: tuple[MemberRecord, ...]
+    owners: tuple[Owner, ...]
+
+
+@dataclass(frozen=True)
+class RoutingTable:
+    """What a node routes by.
+
+    :param version: version of the configuration.
+    :param serving: whether the node may serve; a node that does not know its version may not.
+    :param configuration: the configuration.
+    :param index: its routes by prefix.
+    :param services: owners of every service of the configuration.
+    """
+
+    version: int
+    serving: bool
+    configuration: Configuration
+    index: RouteIndex
+    services: Map[str, ServiceOwners]
+
+
+@dataclass(frozen=True)
+class RouteMatch:
+    """The route of a request.
+
+    :param route: the route.
+    :param request_class: its class.
+    :param owners: owners of its service.
+    :param room_share: share of the requests in progress above which the class is refused.
+    :param inactive_reason: why the route takes no requests, or empty when it does.
+    """
+
+    route: Route
+    request_class: RequestClass
+    owners: ServiceOwners
+    room_share: float
+    inactive_reason: str
+
+
+class NoMatchReason:
+    """Why no route takes a request, as named in ``Bamboonotch-Reason``."""
+
+    NO_ROUTE = "no-route"
+    METHOD = "no-route-for-method"
+
+
+@dataclass(frozen=True)
+class NoMatch:
+    """No route takes the request.
+
+    :param reason: a value of :class:`NoMatchReason`.
+    """
+
+    reason: str
+
+
+def _make_owner(record: MemberRecord) -> Owner:
+    return Owner(
+        node_id=record.node_id,
+        incarnation=record.incarnation,
+        peer_address=record.peer_address,
+        region=record.region,
+        data_centre=record.data_centre,
+        slots=record.slots,
+        suspect=record.state is MemberState.SUSPECT,
+    )
+
+
+def _service_owners(
+    service: str, records: tuple[MemberRecord, ...], previous: RoutingTable | None
+) -> ServiceOwners:
+    known = previous.services.get(service) if previous is not None else None
+    if known is not None and (known.records is records or known.records == records):
+        return known
+    usable = (
+        _make_owner(record)
+        for record in records
+        if record.state in USABLE_STATES and record.service == service and record.slots > 0
+    )
+    return ServiceOwners(service, records, tuple(usable))
+
+
+def build_routing_table(
+    configuration: Configuration,
+    version: int,
+    members: Mapping[str, tuple[MemberRecord, ...]],
+    previous: RoutingTable | None = None,
+) -> RoutingTable:
+    """Build the routing table of a configuration and a membership.
+
+    :param configuration: the running configuration.
+    :param version: its version.
+    :param members: usable records by service.
+    :param previous: the table in use; unchanged parts of it are reused.
+    """
+    unchanged = previous is not None and previous.configuration is configuration
+    index = previous.index if previous and unchanged else build_index(configuration)
+    services = {
+        service: _service_owners(service, members.get(service, ()), previous)
+        for service in configuration.services
+    }
+    return RoutingTable(version, True, configuration, index, Map(services))
+
+
+NOT_SERVING_TABLE = RoutingTable(
+    version=0,
+    serving=False,
+    configuration=EMPTY_CONFIGURATION,
+    index=build_index(EMPTY_CONFIGURATION),
+    services=Map(),
+)
+"""The table of a node that does not know its version and so refuses every request."""
+
+
+def match_route(table: RoutingTable, method: str, path: str) -> RouteMatch | NoMatch:
+    """Find the route with the longest matching prefix that takes the method.
+
+    :param table: the routing table.
+    :param method: HTTP method.
+    :param path: request path, with or without query.
+    """
+    reason = NoMatchReason.NO_ROUTE
+    for methods in matching_prefixes(table.index, path_of(path)):
+        found = methods.get(method)
+        if found is None:
+            reason = NoMatchReason.METHOD
+            continue
+        owners = table.services[found.route.service]
+        inactive_reason = "" if owners.owners else NO_READY_BACKEND_SERVER
+        return RouteMatch(
+            found.route, found.request_class, owners, found.room_share, inactive_reason
+        )
+    return NoMatch(reason)
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/state.py
@@ -0,0 +1,65 @@
+"""State of a whole node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bamboonotch_core.admission import AdmissionState, make_admission_state
+from bamboonotch_core.distribution import (
+    DistributionState,
+    MembershipView,
+    make_distribution_state,
+)
+from bamboonotch_core.membership import MembershipState, make_membership_state
+from bamboonotch_core.outcomes import OutcomeState, make_outcome_state
+from bamboonotch_core.routing import NOT_SERVING_TABLE, RoutingTable
+from bamboonotch_core.settings import NodeSettings
+
+__all__ = ["NodeState", "make_node_state"]
+
+
+@dataclass(frozen=True)
+class NodeState:
+    """State of every part of a node.
+
+    :param membership: members, overlay and own record.
+    :param distribution: versions held and run.
+    :param view: what distribution sees of the membership.
+    :param table: effective routing table, computed from the two above.
+    :param outcomes: requests that entered at this node.
+    :param admission: work for the backend server beside this node.
+    :param shutdown_deadline_ms: when the process ends at the latest, or ``None`` while it is not
+        shutting down.
+    :param shutdown_idle_after_ms: when an idle process may end at the earliest.
+    :param stop_ms: when the process ends, once its leaving is announced, or ``None`` before.
+    """
+
+    membership: MembershipState
+    distribution: DistributionState
+    view: MembershipView
+    table: RoutingTable
+    outcomes: OutcomeState
+    admission: AdmissionState
+    shutdown_deadline_ms: float | None = None
+    shutdown_idle_after_ms: float = 0.0
+    stop_ms: float | None = None
+
+
+def make_node_state(
+    settings: NodeSettings, incarnation: int, seed: int, now_ms: float
+) -> NodeState:
+    """Return the state of a node that has just started.
+
+    :param settings: all settings.
+    :param incarnation: start time of the process, in milliseconds since 1970.
+    :param seed: seed of every random choice.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    return NodeState(
+        membership=make_membership_state(settings, incarnation, seed, now_ms),
+        distribution=make_distribution_state(settings, incarnation),
+        view=MembershipView(),
+        table=NOT_SERVING_TABLE,
+        outcomes=make_outcome_state(settings, seed),
+        admission=make_admission_state(settings, now_ms, incarnation),
+    )
--- /dev/null
+++ b/packages/core/tests/distribution/test_properties.py
@@ -0,0 +1,102 @@
+"""Property test: many reducers over a faulty network and a store with outages."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from bamboonotch_core.settings import PushMode
+from tests.distribution.fleet import Fleet
+
+REGIONS = {"a": "east", "b": "east", "c": "east", "d": "east", "e": "west"}
+NAMES = tuple(REGIONS)
+
+ACTIONS = st.one_of(
+    st.tuples(st.just("deliver"), st.integers(1, 12)),
+    st.tuples(st.just("tick"), st.sampled_from([100, 300, 1000])),
+    st.tuples(st.just("calm"), st.integers(1, 12)),
+    st.tuples(st.just("read"), st.sampled_from(NAMES)),
+    st.tuples(st.just("read"), st.just("all")),
+    st.tuples(st.just("fail-read"), st.sampled_from(NAMES)),
+    st.tuples(st.just("accept"), st.integers(1, 3)),
+    st.tuples(st.sampled_from(["lose", "repeat", "cross"]), st.integers(1, 3)),
+    st.tuples(st.sampled_from(["kill", "start", "restart"]), st.sampled_from(NAMES)),
+    st.tuples(st.sampled_from(["store-up", "store-down", "detect", "herd", "cut"]), st.just(0)),
+)
+
+
+def act(fleet: Fleet, action: str, value: int | str) -> None:
+    """Carry out one action of a schedule."""
+    if action in ("deliver", "lose", "repeat", "cross"):
+        for _ in range(int(value)):
+            fleet.deliver(
+                lose=action == "lose", repeat=action == "repeat", cross=action == "cross"
+            )
+    elif action == "calm":
+        fleet.calm(int(value))
+    elif action == "tick":
+        fleet.tick(float(value))
+    elif action in ("read", "fail-read"):
+        for name in NAMES if value == "all" else (str(value),):
+            fleet.answer_read(fleet.processes[name], fail=action == "fail-read")
+    elif action == "accept":
+        for _ in range(int(value)):
+            fleet.accept()
+    elif action in ("store-up", "store-down"):
+        fleet.store_up = action == "store-up"
+    elif action == "cut" and fleet.links:
+        fleet.close(fleet.random.choice(list(fleet.links.values())))
+    elif action == "detect":
+        fleet.detect()
+    else:
+        act_on_process(fleet, action, str(value))
+
+
+def act_on_process(fleet: Fleet, action: str, name: str) -> None:
+    """Carry out one action that ends or starts processes."""
+    names = NAMES if action == "herd" else (name,)
+    for item in names:
+        running = fleet.processes.get(item)
+        if running is None:
+            continue
+        if action != "start" and running.state is not None:
+            fleet.kill(item)
+        if action in ("start", "restart", "herd") and running.state is None:
+            fleet.start(item)
+    fleet.connect_all()
+
+
+class FleetTest(unittest.TestCase):
+    """Properties of the whole distribution part."""
+
+    @settings(
+        derandomize=True,
+        max_examples=150,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(
+        st.integers(0, 1 << 32),
+        st.sampled_from(PushMode),
+        st.lists(ACTIONS, min_size=20, max_size=100),
+    )
+    def test_random_schedules(
+        self, seed: int, push: PushMode, schedule: list[tuple[str, int | str]]
+    ) -> None:
+        """Guards against running an older or partial version (P1, P3) and against a fleet that
+        does not converge once everything heals (P9).
+        """
+        fleet = Fleet(REGIONS, push, seed)
+        for action, value in schedule:
+            act(fleet, action, value)
+            self.assertEqual(fleet.violations, [])
+        fleet.heal()
+        self.assertEqual(fleet.violations, [])
+        self.assertTrue(fleet.has_converged())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/core/tests/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the outcomes sub-package."""
--- /dev/null
+++ b/packages/core/tests/outcomes/mesh.py
@@ -0,0 +1,457 @@
+"""An ingress and some owners that exchange messages over a network that a test misuses.
+
+The mesh checks the guarantees of the request part after each step and raises on a violation.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bamboonotch_core.admission import (
+    AdmissionState,
+    hard_slots,
+    make_admission_state,
+    reduce_admission,
+)
+from bamboonotch_core.effects import Effect
+from bamboonotch_core.events import (
+    BackendServerAnnounced,
+    DrainRequested,
+    Event,
+    Tick,
+    UndrainRequested,
+)
+from bamboonotch_core.outcomes import (
+    Outcome,
+    make_outcome_state,
+    parse_attempt_id,
+    reduce_outcomes,
+    supersedes_attempt,
+)
+from bamboonotch_core.request_effects import (
+    AnswerFence,
+    CancelAttempt,
+    ClaimKey,
+    DispatchToBackend,
+    ForwardAttempt,
+    PassResponse,
+    RefuseWork,
+    RespondToCaller,
+    SendFence,
+)
+from bamboonotch_core.request_events import (
+    AttemptLost,
+    BackendFinished,
+    BackendResult,
+    CallerGone,
+    ClaimAnswered,
+    ClaimResult,
+    FenceAnswered,
+    FenceReceived,
+    FenceState,
+    OwnerRefused,
+    OwnerResponded,
+    RequestArrived,
+    ResponseFinished,
+    WorkCancelled,
+    WorkOffered,
+)
+from bamboonotch_core.settings import AdmissionSettings, RequestSettings
+from tests.routing.builders import make_configuration, make_record, make_settings, make_table
+
+UNIX_MS = 1_700_000_000_000
+SLOTS = 2
+CLASSES = {
+    "order": {"priority": 0, "queue_limit": 2, "queue_timeout_ms": 500},
+    "read": {"priority": 1, "queue_limit": 3, "queue_timeout_ms": 500},
+}
+SERVICES = {"orders": {"tenant": "t", "slots_per_backend_server": SLOTS, "ramp_ms": 0}}
+
+
+def _route(prefix: str, request_class: str, idempotent: bool) -> dict[str, object]:
+    return {
+        "path_prefix": prefix,
+        "methods": ["POST"],
+        "service": "orders",
+        "request_class": request_class,
+        "idempotent": idempotent,
+        "timeout_ms": 2000,
+    }
+
+
+ROUTES = {
+    "order": _route("/order", "order", False),
+    "read": _route("/read", "read", True),
+}
+PATHS = ("/order", "/order", "/read")
+
+
+def make_key(number: int) -> str:
+    """Return an idempotency key of the present time."""
+    stamp = f"{UNIX_MS:012x}"
+    return f"{stamp[:8]}-{stamp[8:]}-7000-8000-{number:012x}"
+
+
+@dataclass(frozen=True)
+class Message:
+    """A message under way between the ingress and one incarnation of an owner."""
+
+    owner: int
+    incarnation: int
+    event: Event
+    to_owner: bool
+
+
+@dataclass
+class Work:
+    """One dispatch at a backend server."""
+
+    request_id: str
+    attempt_id: str
+    owner: int
+    running: bool = True
+    ran: bool = True
+
+
+@dataclass
+class Mesh:
+    """One ingress, some owners, a claim store and the messages under way."""
+
+    owner_count: int = 3
+    now_ms: float = 1000.0
+    messages: list[Message] = field(default_factory=list)
+    work: list[Work] = field(default_factory=list)
+    claims: dict[str, str] = field(default_factory=dict)
+    pending_claims: list[tuple[int, int, ClaimKey]] = field(default_factory=list)
+    answers: dict[str, list[Effect]] = field(default_factory=dict)
+    gone: set[str] = field(default_factory=set)
+    idempotent: dict[str, bool] = field(default_factory=dict)
+    keys: dict[str, str] = field(default_factory=dict)
+    open_attempts: dict[str, tuple[int, int, str]] = field(default_factory=dict)
+    responding: dict[str, str] = field(default_factory=dict)
+    delivered: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.configuration = make_configuration(ROUTES, SERVICES, CLASSES)
+        self.settings = make_settings(
+            requests=RequestSettings(max_requests=12, ejection_ms=200),
+            admission=AdmissionSettings(max_attempts_kept=6, attempt_retention_ms=3000),
+        )
+        self.ingress = make_outcome_state(self.settings, 1)
+        self.incarnations = [1] * self.owner_count
+        self.owners: list[AdmissionState] = []
+        for _ in range(self.owner_count):
+            self.owners.append(make_admission_state(self.settings, self.now_ms, 1))
+        self.refresh_table()
+        for owner in range(self.owner_count):
+            self.announce(owner, "ready")
+
+    def refresh_table(self) -> None:
+        """Let the ingress learn the incarnations of all owners."""
+        records = [
+            make_record(f"owner-{index}", incarnation=incarnation, slots=SLOTS)
+            for index, incarnation in enumerate(self.incarnations)
+        ]
+        self.table = make_table(*records, configuration=self.configuration)
+
+    def announce(self, owner: int, state: str) -> None:
+        """Let a backend server announce itself."""
+        event = BackendServerAnnounced(self.now_ms, "orders", f"{owner}:1", SLOTS, state)
+        self.at_owner(owner, event)
+
+    def arrive(self, choice: int) -> None:
+        """Send a request; some carry a key, and some repeat the key of another request."""
+        request_id = f"request-{len(self.answers)}"
+        path = PATHS[choice % len(PATHS)]
+        key = make_key(choice % 5) if choice % 2 and path == "/order" else ""
+        self.answers[request_id] = []
+        self.idempotent[request_id] = path == "/read"
+        self.keys[request_id] = key
+        attempt = 1 if choice % 7 == 0 else 0
+        timeout_ms = (None, 150.0, 900.0)[choice % 3]
+        self.at_ingress(
+            RequestArrived(self.now_ms, request_id, "POST", path, timeout_ms, key, attempt, UNIX_MS)
+        )
+
+    def at_ingress(self, event: Event) -> None:
+        """Reduce an event at the ingress and carry out its effects."""
+        step = reduce_outcomes(self.ingress, event, self.table)
+        self.ingress = step.state
+        for effect in step.effects:
+            self._carry_out_at_ingress(effect)
+        assert len(self.ingress.requests) <= self.settings.requests.max_requests
+
+    def _carry_out_at_ingress(self, effect: Effect) -> None:
+        now_ms = self.now_ms
+        if isinstance(effect, ForwardAttempt):
+            self._forward(effect)
+        elif isinstance(effect, SendFence):
+            owner = int(effect.owner_id.rpartition("-")[2])
+            event: Event = FenceReceived(now_ms, effect.attempt_id, effect.request_id)
+            self.messages.append(Message(owner, self.incarnations[owner], event, True))
+        elif isinstance(effect, CancelAttempt):
+            opened = self.open_attempts.pop(effect.attempt_id, None)
+            if opened is not None:
+                event = WorkCancelled(now_ms, effect.attempt_id)
+                self.messages.append(Message(opened[0], opened[1], event, True))
+        elif isinstance(effect, PassResponse):
+            self._answer(effect.request_id, effect)
+            named = parse_attempt_id(effect.attempt_id)
+            assert named is not None
+            assert named.request_id == effect.request_id, "P4: response of another request"
+            self.responding[effect.request_id] = effect.attempt_id
+        elif isinstance(effect, RespondToCaller):
+            self._answer(effect.request_id, effect)
+            if effect.outcome is Outcome.NOT_RUN:
+                runs = [item for item in self.work if item.request_id == effect.request_id]
+                assert not any(item.ran for item in runs), f"P5: {effect} but ran: {runs}"
+
+    def _forward(self, effect: ForwardAttempt) -> None:
+        owner = int(effect.owner_id.rpartition("-")[2])
+        incarnation = self.incarnations[owner]
+        self.open_attempts[effect.attempt_id] = (owner, incarnation, effect.request_id)
+        offer = WorkOffered(
+            self.now_ms,
+            effect.request_id,
+            effect.attempt_id,
+            effect.service,
+            effect.request_class,
+            effect.deadline_ms,
+            effect.idempotent,
+            effect.idempotency_key,
+        )
+        self.messages.append(Message(owner, incarnation, offer, True))
+
+    def _answer(self, request_id: str, effect: Effect) -> None:
+        self.answers[request_id].append(effect)
+        count = len(self.answers[request_id])
+        assert count == 1, f"{request_id} was answered {count} times"
+        assert request_id not in self.gone, f"{request_id} was answered after its caller left"
+
+    def at_owner(self, owner: int, event: Event) -> None:
+        """Reduce an event at an owner and carry out its effects."""
+        step = reduce_admission(self.owners[owner], event, self.configuration)
+        state = self.owners[owner] = step.state
+        for effect in step.effects:
+            self._carry_out_at_owner(owner, effect)
+        running = sum(1 for item in self.work if item.owner == owner and item.running)
+        assert running <= SLOTS, "more work than slots"
+        assert state.slots_held <= max(SLOTS, hard_slots(state, self.configuration))
+        assert state.queued <= 3 and len(state.queues.get("order", _EMPTY).entries) <= 2
+        assert len(state.memory.attempts) <= self.settings.admission.max_attempts_kept
+
+    def _carry_out_at_owner(self, owner: int, effect: Effect) -> None:
+        if isinstance(effect, DispatchToBackend):
+            self._dispatch(owner, effect.attempt_id)
+        elif isinstance(effect, ClaimKey):
+            self.pending_claims.append((owner, self.incarnations[owner], effect))
+        elif isinstance(effect, RefuseWork):
+            attempt_id = effect.attempt_id
+            self._reply(owner, attempt_id, effect.result, effect.reason, effect.load)
+        elif isinstance(effect, AnswerFence):
+            event = FenceAnswered(
+                self.now_ms, effect.fence_id, effect.attempt_id, f"owner-{owner}", effect.state
+            )
+            self.messages.append(Message(owner, self.incarnations[owner], event, False))
+
+    def _dispatch(self, owner: int, attempt_id: str) -> None:
+        named = parse_attempt_id(attempt_id)
+        assert named is not None
+        request_id = named.request_id
+        if not self.idempotent[request_id]:
+            same = [item for item in self.work if item.request_id == request_id and item.ran]
+            assert not same, f"P6: {request_id} dispatched again after {same}"
+            key = self.keys[request_id]
+            twins = [item for item in self.work if key and self.keys[item.request_id] == key]
+            assert not any(item.ran for item in twins), f"P6: key of {request_id} ran twice"
+        final = [item for item in self.answers[request_id] if isinstance(item, RespondToCaller)]
+        not_run = [item for item in final if item.outcome is Outcome.NOT_RUN]
+        assert not not_run, f"P5: dispatched after {not_run}"
+        assert all(item.attempt_id != attempt_id for item in self.work), "attempt dispatched twice"
+        self.work.append(Work(request_id, attempt_id, owner))
+
+    def _reply(
+        self, owner: int, attempt_id: str, result: BackendResult, reason: str, load: int
+    ) -> None:
+        named = parse_attempt_id(attempt_id)
+        assert named is not None
+        event = OwnerRefused(
+            self.now_ms, named.request_id, attempt_id, f"owner-{owner}", result, reason, load
+        )
+        self.messages.append(Message(owner, self.incarnations[owner], event, False))
+
+    def deliver(self, choice: int, duplicate: bool = False) -> None:
+        """Deliver any message under way, and perhaps keep a copy of it."""
+        if not self.messages:
+            return
+        index = choice % len(self.messages)
+        message = self.messages[index] if duplicate else self.messages.pop(index)
+        self._deliver(message)
+
+    def _deliver(self, message: Message) -> None:
+        event = message.event
+        stamped = type(event)(**{**vars(event), "now_ms": self.now_ms})
+        if not message.to_owner:
+            if isinstance(event, OwnerRefused):
+                self.open_attempts.pop(event.attempt_id, None)
+            self.at_ingress(stamped)
+        elif self.incarnations[message.owner] == message.incarnation:
+            if isinstance(event, WorkOffered):
+                self.delivered.add(event.attempt_id)
+            self.at_owner(message.owner, stamped)
+        elif isinstance(event, FenceReceived):
+            self._fail_fence(message.owner, event)
+        else:
+            self._lose_attempts(message.owner)
+
+    def _fail_fence(self, owner: int, event: FenceReceived) -> None:
+        failed = FenceAnswered(
+            self.now_ms, event.fence_id, event.attempt_id, f"owner-{owner}", FenceState.UNKNOWN
+        )
+        self.at_ingress(failed)
+
+    def drop(self, choice: int) -> None:
+        """Lose any message under way; a stream that lost one is closed."""
+        if not self.messages:
+            return
+        message = self.messages.pop(choice % len(self.messages))
+        if isinstance(message.event, FenceReceived | FenceAnswered):
+            return
+        self.close_stream(message.owner, choice)
+
+    def close_stream(self, owner: int, choice: int) -> None:
+        """Close the stream to an owner; what is under way may be lost or come late."""
+        owner %= self.owner_count
+        if choice % 3 == 0:
+            self.messages = [item for item in self.messages if item.owner != owner]
+        if choice % 2:
+            for attempt_id, (holder, incarnation, _) in self.open_attempts.items():
+                if holder == owner:
+                    cancel = WorkCancelled(self.now_ms, attempt_id)
+                    self.messages.append(Message(owner, incarnation, cancel, True))
+        self._lose_attempts(owner)
+
+    def _lose_attempts(self, owner: int) -> None:
+        lost = [item for item in self.open_attempts.items() if item[1][0] == owner]
+        for attempt_id, (_, _, request_id) in lost:
+            del self.open_attempts[attempt_id]
+            self.at_ingress(
+                AttemptLost(self.now_ms, request_id, attempt_id, f"owner-{owner}", True)
+            )
+
+    def fail_to_connect(self, choice: int) -> None:
+        """Let an offer that never left the ingress fail."""
+        offers = [item for item in self.messages if isinstance(item.event, WorkOffered)]
+        if not offers:
+            return
+        message = offers[choice % len(offers)]
+        offer = message.event
+        assert isinstance(offer, WorkOffered)
+        if offer.attempt_id in self.delivered or offer.attempt_id not in self.open_attempts:
+            return
+        self.messages.remove(message)
+        del self.open_attempts[offer.attempt_id]
+        owner_id = f"owner-{message.owner}"
+        event = AttemptLost(self.now_ms, offer.request_id, offer.attempt_id, owner_id, False)
+        self.at_ingress(event)
+
+    def restart(self, owner: int, table_follows: bool) -> None:
+        """Replace the process of an owner; its backend server goes on with what it has."""
+        owner %= self.owner_count
+        self.incarnations[owner] += 1
+        self.owners[owner] = make_admission_state(
+            self.settings, self.now_ms, self.incarnations[owner]
+        )
+        self.pending_claims = [item for item in self.pending_claims if item[0] != owner]
+        for item in self.work:
+            item.running = item.running and item.owner != owner
+        self.announce(owner, "ready")
+        if table_follows:
+            self.refresh_table()
+
+    def finish_work(self, choice: int) -> None:
+        """Let a backend server end any work that it has."""
+        running = [item for item in self.work if item.running]
+        if not running:
+            return
+        work = running[choice % len(running)]
+        work.running = False
+        result = (BackendResult.DONE, BackendResult.DONE, BackendResult.NOT_RUN)[choice % 3]
+        if choice % 11 == 0:
+            result = BackendResult.UNKNOWN
+        work.ran = result is not BackendResult.NOT_RUN
+        if result is BackendResult.DONE:
+            head = OwnerResponded(
+                self.now_ms, work.request_id, work.attempt_id, f"owner-{work.owner}", 200, 1
+            )
+            self.messages.append(Message(work.owner, self.incarnations[work.owner], head, False))
+        finished = BackendFinished(self.now_ms, work.attempt_id, result, 5.0 + choice % 40)
+        self.at_owner(work.owner, finished)
+
+    def answer_claim(self, choice: int) -> None:
+        """Let the store answer any claim; when it fails, the claim may be written or not."""
+        if not self.pending_claims:
+            return
+        owner, _, claim = self.pending_claims.pop(choice % len(self.pending_claims))
+        holder = self.claims.get(claim.idempotency_key)
+        free = holder is None or supersedes_attempt(claim.attempt_id, holder)
+        result = ClaimResult.CREATED if free else ClaimResult.TAKEN
+        if choice % 5 == 0:
+            result = ClaimResult.UNAVAILABLE
+        if free and choice % 10 != 5:
+            self.claims[claim.idempotency_key] = claim.attempt_id
+        self.at_owner(owner, ClaimAnswered(self.now_ms, claim.attempt_id, result))
+
+    def finish_response(self, choice: int) -> None:
+        """End the body of any response."""
+        if not self.responding:
+            return
+        request_id = sorted(self.responding)[choice % len(self.responding)]
+        self.open_attempts.pop(self.responding.pop(request_id), None)
+        self.at_ingress(ResponseFinished(self.now_ms, request_id, choice % 4 != 0))
+
+    def leave(self, choice: int) -> None:
+        """Let the caller of any request close its connection."""
+        waiting = sorted(item for item, given in self.answers.items() if not given)
+        waiting = [item for item in waiting if item not in self.gone]
+        if waiting:
+            request_id = waiting[choice % len(waiting)]
+            self.gone.add(request_id)
+            self.at_ingress(CallerGone(self.now_ms, request_id))
+
+    def change_backend(self, choice: int) -> None:
+        """Drain, undrain, stop or announce an owner's backend server."""
+        owner = choice % self.owner_count
+        action = (choice // self.owner_count) % 5
+        if action == 0:
+            self.at_owner(owner, DrainRequested(self.now_ms))
+        elif action == 1:
+            self.at_owner(owner, UndrainRequested(self.now_ms))
+        else:
+            self.announce(owner, ("ready", "draining", "stopped")[action - 2])
+
+    def advance(self, choice: int) -> None:
+        """Let time pass in ticks; live backend servers keep announcing themselves."""
+        for _ in range((1, 3, 12)[choice % 3]):
+            self.now_ms += 100.0
+            self.at_ingress(Tick(self.now_ms))
+            for owner, state in enumerate(self.owners):
+                self.announce(owner, state.backend.state)
+                self.at_owner(owner, Tick(self.now_ms))
+
+    def settle(self) -> None:
+        """Let every deadline pass and check that each caller has its one answer."""
+        self.messages.clear()
+        for _ in range(30):
+            self.advance(0)
+        for request_id, given in self.answers.items():
+            assert given or request_id in self.gone, f"{request_id} was never answered"
+        assert not self.ingress.requests
+        assert all(not view.in_flight for view in self.ingress.views.values())
+
+
+class _EmptyQueue:
+    entries: tuple[str, ...] = ()
+
+
+_EMPTY = _EmptyQueue()
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/backend/__init__.py
@@ -0,0 +1,27 @@
+"""HTTP/1.1 client to the local backend server."""
+
+from bamboonotch_node.backend._client import BackendClient
+from bamboonotch_node.backend._exchange import BackendExchange
+from bamboonotch_node.backend._work import (
+    MAX_RESPONSE_HEADER_BYTES,
+    MAX_RESPONSE_HEADERS,
+    CallerRequest,
+    FlowControl,
+    HeaderList,
+    OfferedWork,
+    ResponseReceiver,
+    ResponseStart,
+)
+
+__all__ = [
+    "BackendClient",
+    "BackendExchange",
+    "CallerRequest",
+    "FlowControl",
+    "HeaderList",
+    "MAX_RESPONSE_HEADERS",
+    "MAX_RESPONSE_HEADER_BYTES",
+    "OfferedWork",
+    "ResponseReceiver",
+    "ResponseStart",
+]
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/forwarding/__init__.py
@@ -0,0 +1,17 @@
+"""Attempts on their way between the ingress node and the owner, over gRPC streams."""
+
+from bamboonotch_node.forwarding._client import ForwardingClient
+from bamboonotch_node.forwarding._handlers import EffectHandlers
+from bamboonotch_node.forwarding._incoming import IncomingAttempt
+from bamboonotch_node.forwarding._owner import OwnerSide
+from bamboonotch_node.forwarding._server import ForwardingServer
+from bamboonotch_node.forwarding._sink import AttemptSink
+
+__all__ = [
+    "AttemptSink",
+    "EffectHandlers",
+    "ForwardingClient",
+    "ForwardingServer",
+    "IncomingAttempt",
+    "OwnerSide",
+]
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/forwarding/_owner.py
@@ -0,0 +1,251 @@
+"""The owner's side: attempts offered to this node's backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from bamboonotch_core.events import Event
+from bamboonotch_core.request_effects import (
+    AbortBackend,
+    AnswerFence,
+    DispatchToBackend,
+    RefuseWork,
+)
+from bamboonotch_core.request_events import (
+    BackendFinished,
+    BackendResult,
+    FenceReceived,
+    FenceState,
+    WorkCancelled,
+    WorkOffered,
+)
+from bamboonotch_node.backend import BackendClient, OfferedWork
+from bamboonotch_node.forwarding._handlers import EffectHandlers
+from bamboonotch_node.forwarding._owned_attempt import OwnedAttempt
+from bamboonotch_node.forwarding._sink import AttemptSink
+
+__all__ = ["OwnerSide"]
+
+# Bounds of the responses kept after their end, in case their stream turns out to be lost.
+MAX_KEPT_RESPONSES = 4096
+MAX_KEPT_RESPONSE_BYTES = 8 * 1024 * 1024
+# Fences without an answer from the decision code; it normally answers at once.
+MAX_FENCES = 10_000
+SWEEP_INTERVAL_MS = 10_000.0
+# An attempt this long past its deadline without any end was dropped by the decision code.
+LEFTOVER_MS = 30_000.0
+
+FenceAnswerer = Callable[[FenceState], None]
+
+
+class OwnerSide:
+    """Turns offers, cancellations and fences into events and carries out the owner's effects.
+
+    :param backend: client of the local backend server.
+    :param dispatch: takes each event.
+    :param clock: monotonic clock in milliseconds.
+    :param orphan_ms: how long an attempt whose stream was lost waits for a fence before it is
+        cancelled, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        backend: BackendClient,
+        dispatch: Callable[[Event], None],
+        clock: Callable[[], float],
+        orphan_ms: float,
+    ) -> None:
+        self._backend = backend
+        self._dispatch = dispatch
+        self._clock = clock
+        self._orphan_ms = orphan_ms
+        self._attempts: dict[str, OwnedAttempt] = {}
+        self._kept: deque[tuple[float, int, OwnedAttempt]] = deque()
+        self._kept_bytes = 0
+        self._sweep_due_ms = 0.0
+        self._fences: dict[str, tuple[AttemptSink, FenceAnswerer]] = {}
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    def knows(self, attempt_id: str) -> bool:
+        """Tell whether an attempt is in progress.
+
+        :param attempt_id: the attempt.
+        """
+        return attempt_id in self._attempts
+
+    def offer(self, work: OfferedWork, sink: AttemptSink, replayable: bool) -> None:
+        """Offer an attempt; only once for each attempt id.
+
+        :param work: the attempt.
+        :param sink: takes the answer.
+        :param replayable: whether a fence can bring another sink.
+        """
+        now_ms = self._clock()
+        if now_ms >= self._sweep_due_ms:
+            self._sweep(now_ms)
+        self._attempts[work.attempt_id] = OwnedAttempt(
+            work, sink, now_ms, replayable, self._response_passed
+        )
+        self._dispatch(
+            WorkOffered(
+                now_ms=now_ms,
+                request_id=work.request.request_id,
+                attempt_id=work.attempt_id,
+                service=work.service,
+                request_class=work.request_class,
+                deadline_ms=work.deadline_ms,
+                idempotent=work.idempotent,
+                idempotency_key=work.idempotency_key,
+            )
+        )
+
+    def cancel(self, attempt_id: str) -> None:
+        """Give an attempt up on behalf of its ingress.
+
+        :param attempt_id: the attempt.
+        """
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return
+        attempt.sink = None
+        attempt.give_up_replay()
+        self._dispatch(WorkCancelled(now_ms=self._clock(), attempt_id=attempt_id))
+
+    def detach(self, attempt_id: str, sink: AttemptSink) -> None:
+        """Note that the stream of an attempt was lost.
+
+        A fence on a new stream can adopt the attempt for a while, so that its answer still
+        reaches the caller; after that it is cancelled.
+
+        :param attempt_id: the attempt.
+        :param sink: the sink that used the stream.
+        """
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or attempt.sink is not sink:
+            return
+        if not attempt.replayable:
+            self.cancel(attempt_id)
+            return
+        attempt.sink = None
+        attempt.orphan_timer = asyncio.get_running_loop().call_later(
+            self._orphan_ms / 1000, self._abandon, attempt
+        )
+
+    def fence(
+        self, attempt_id: str, fence_id: str, sink: AttemptSink, answer: FenceAnswerer
+    ) -> None:
+        """Ask that an attempt not yet dispatched never be.
+
+        :param attempt_id: the attempt.
+        :param fence_id: names the question; unique among all nodes.
+        :param sink: adopts the attempt if it goes on.
+        :param answer: takes the answer.
+        """
+        if len(self._fences) >= MAX_FENCES:
+            answer(FenceState.UNKNOWN)
+            return
+        self._fences[fence_id] = (sink, answer)
+        self._dispatch(
+            FenceReceived(now_ms=self._clock(), attempt_id=attempt_id, fence_id=fence_id)
+        )
+
+    def _abandon(self, attempt: OwnedAttempt) -> None:
+        if attempt.sink is None:
+            self.cancel(attempt.work.attempt_id)
+
+    def _forget(self, attempt: OwnedAttempt) -> None:
+        self._attempts.pop(attempt.work.attempt_id, None)
+        if attempt.orphan_timer is not None:
+            attempt.orphan_timer.cancel()
+
+    def _response_passed(self, attempt: OwnedAttempt) -> None:
+        if not attempt.replayable:
+            self._forget(attempt)
+            return
+        now_ms = self._clock()
+        self._kept.append((now_ms + self._orphan_ms, attempt.kept_bytes, attempt))
+        self._kept_bytes += attempt.kept_bytes
+        while self._kept and (
+            self._kept[0][0] <= now_ms
+            or len(self._kept) > MAX_KEPT_RESPONSES
+            or self._kept_bytes > MAX_KEPT_RESPONSE_BYTES
+        ):
+            _, size_bytes, oldest = self._kept.popleft()
+            self._kept_bytes -= size_bytes
+            self._forget(oldest)
+
+    def _sweep(self, now_ms: float) -> None:
+        self._sweep_due_ms = now_ms + SWEEP_INTERVAL_MS
+        for attempt in list(self._attempts.values()):
+            if attempt.work.deadline_ms + LEFTOVER_MS < now_ms:
+                self._forget(attempt)
+
+    @property
+    def handlers(self) -> EffectHandlers:
+        """What carries out each effect of the owner's side, by its type."""
+        return {
+            DispatchToBackend: self._dispatch_to_backend,
+            AbortBackend: self._abort_backend,
+            RefuseWork: self._refuse_work,
+            AnswerFence: self._answer_fence,
+        }
+
+    def _dispatch_to_backend(self, effect: DispatchToBackend) -> None:
+        attempt = self._attempts.get(effect.attempt_id)
+        exchange = None
+        if attempt is not None:
+            exchange = self._backend.prepare(
+                attempt.work,
+                attempt,
+                lambda result, latency_ms: self._finished(effect.attempt_id, result, latency_ms),
+                queue_ms=self._clock() - attempt.offered_ms,
+            )
+        if attempt is None or exchange is None:
+            self._finished(effect.attempt_id, BackendResult.NOT_RUN, 0.0)
+            return
+        attempt.exchange = exchange
+        if attempt.sink is not None:
+            attempt.sink.set_source(exchange)
+        exchange.start()
+
+    def _abort_backend(self, effect: AbortBackend) -> None:
+        attempt = self._attempts.get(effect.attempt_id)
+        if attempt is None or attempt.exchange is None:
+            return
+        attempt.exchange.abort()
+
+    def _refuse_work(self, effect: RefuseWork) -> None:
+        attempt = self._attempts.get(effect.attempt_id)
+        if attempt is None:
+            return
+        self._forget(attempt)
+        if attempt.sink is not None and not attempt.has_response():
+            not_run = effect.result is BackendResult.NOT_RUN
+            attempt.sink.refuse(not_run, effect.reason, effect.load)
+
+    def _answer_fence(self, effect: AnswerFence) -> None:
+        question = self._fences.pop(effect.fence_id, None)
+        if question is None:
+            return
+        sink, answer = question
+        attempt = self._attempts.get(effect.attempt_id)
+        going_on = effect.state in (FenceState.RUNNING, FenceState.FINISHED)
+        if attempt is not None and attempt.replayable and going_on and attempt.sink is not sink:
+            # The ingress has lost the stream of the old sink.
+            responding = attempt.has_response()
+            attempt.adopt(sink)
+            if responding:
+                # The response itself is the answer.
+                return
+        answer(effect.state)
+
+    def _finished(self, attempt_id: str, result: BackendResult, latency_ms: float) -> None:
+        self._dispatch(
+            BackendFinished(
+                now_ms=self._clock(), attempt_id=attempt_id, result=result, latency_ms=latency_ms
+            )
+        )
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -0,0 +1,356 @@
+"""The owner's end of forward streams."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import grpc
+
+from bamboonotch_core.effects import Report
+from bamboonotch_core.errors import MessageError
+from bamboonotch_core.request_events import FenceState
+from bamboonotch_core.settings import NodeSettings
+from bamboonotch_node.backend import FlowControl, OfferedWork, ResponseStart
+from bamboonotch_node.forwarding._frames import (
+    build_response_head,
+    check_request_head,
+    decode_request,
+    encode_fence_state,
+)
+from bamboonotch_node.forwarding._outbox import OutgoingBody
+from bamboonotch_node.forwarding._owner import OwnerSide
+from bamboonotch_node.forwarding._stream import FrameStream, StreamIdentity
+from bamboonotch_wire import bamboonotch_pb2 as pb
+
+__all__ = ["ForwardingServer"]
+
+MAX_STREAMS = 4096
+MAX_FENCE_ID_CHARACTERS = 256
+# Request bodies that are being received, over all streams.
+MAX_INCOMING_BODY_BYTES = 64 * 1024 * 1024
+
+
+class _StreamSink:
+    """Sends the answer to one attempt over a stream.
+
+    :param attempt_id: the attempt.
+    :param frames: the stream.
+    :param ended: called when the last frame has left.
+    """
+
+    def __init__(self, attempt_id: str, frames: FrameStream, ended: Callable[[str], None]) -> None:
+        self._attempt_id = attempt_id
+        self._frames = frames
+        self._ended = ended
+        self._body: OutgoingBody | None = None
+        self._source: FlowControl | None = None
+
+    def set_source(self, source: FlowControl) -> None:
+        """Name the source to hold up when the outbox is full.
+
+        :param source: the source.
+        """
+        self._source = source
+
+    def start(self, head: ResponseStart) -> None:
+        """Send the head of the response, together with the first bytes of the body.
+
+        :param head: the head.
+        """
+
+        def build_head(data: bytes, last: bool) -> pb.ForwardFrame:
+            return build_response_head(self._attempt_id, head, data, last)
+
+        self._body = OutgoingBody(self._attempt_id, self._frames.outbox, build_head)
+        self._body.source = self._source
+        self._body.on_sent = lambda: self._ended(self._attempt_id)
+        self._frames.outbox.enqueue(self._body)
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body.
+
+        :param data: the piece.
+        """
+        if self._body is not None:
+            self._body.write(data)
+
+    def finish(self, complete: bool) -> None:
+        """Send the end of the body.
+
+        :param complete: whether all of it arrived.
+        """
+        if self._body is not None:
+            self._body.finish(complete)
+
+    def refuse(self, not_run: bool, reason: str, load: int) -> None:
+        """Send a refusal.
+
+        :param not_run: whether the attempt was provably not dispatched.
+        :param reason: why, lower case with dashes.
+        :param load: work in slots and queue.
+        """
+        self._ended(self._attempt_id)
+        refusal = pb.Refusal(
+            attempt_id=self._attempt_id, not_run=not_run, reason=reason, load=max(0, load)
+        )
+        self._frames.send(pb.ForwardFrame(refusal=refusal))
+
+    def add_credit(self, size_bytes: int) -> None:
+        """Allow more bytes of the response.
+
+        :param size_bytes: how many.
+        :raises MessageError: when the credit exceeds the window.
+        """
+        if self._body is not None:
+            self._body.add_credit(size_bytes)
+
+    def is_responding(self) -> bool:
+        """Tell whether a response has begun to leave."""
+        return self._body is not None
+
+    def discard(self) -> None:
+        """Send nothing more."""
+        if self._body is not None:
+            self._body.discard()
+
+
+class _PartialRequest:
+    """An attempt whose body is still arriving.
+
+    :param head: its head.
+    """
+
+    def __init__(self, head: pb.RequestHead) -> None:
+        self.head = head
+        self.pieces = [head.body]
+        self.size_bytes = len(head.body)
+
+
+class _ServerStream:
+    """One stream from one ingress node.
+
+    :param server: the server.
+    :param frames: the stream.
+    """
+
+    def __init__(self, server: ForwardingServer, frames: FrameStream) -> None:
+        self._server = server
+        self._frames = frames
+        self._sinks: dict[str, _StreamSink] = {}
+        self._partial: dict[str, _PartialRequest] = {}
+
+    def received(self, frame: pb.ForwardFrame) -> None:
+        """Take a frame.
+
+        :param frame: the frame.
+        :raises MessageError: when the frame is malformed.
+        """
+        kind = frame.WhichOneof("body")
+        if kind == "request_head":
+            self._request_head(frame.request_head)
+        elif kind == "body_chunk":
+            self._body_chunk(frame.body_chunk)
+        elif kind == "credit":
+            sink = self._sinks.get(frame.credit.attempt_id)
+            if sink is not None:
+                sink.add_credit(frame.credit.size_bytes)
+        elif kind == "cancel":
+            self._cancel(frame.cancel.attempt_id)
+        elif kind == "fence":
+            self._fence(frame.fence)
+
+    def closed(self) -> None:
+        """Note that the stream was lost."""
+        for attempt_id in list(self._partial):
+            self._drop_partial(attempt_id)
+        for attempt_id, sink in list(self._sinks.items()):
+            self._server.owner.detach(attempt_id, sink)
+
+    def _request_head(self, head: pb.RequestHead) -> None:
+        attempt_id = head.attempt_id
+        if attempt_id in self._partial or self._server.owner.knows(attempt_id):
+            raise MessageError("attempt was sent twice")
+        try:
+            check_request_head(head)
+        except MessageError as error:
+            self._refuse(attempt_id, "malformed-attempt", str(error))
+            return
+        if len(self._server.owner) >= self._server.max_attempts:
+            self._refuse(attempt_id, "too-many-attempts")
+        elif head.last:
+            self._offer(head, head.body)
+        elif not self._server.reserve_body_bytes(len(head.body)):
+            self._refuse(attempt_id, "body-memory-exhausted")
+        else:
+            self._partial[attempt_id] = _PartialRequest(head)
+            self._return_credit(attempt_id, len(head.body))
+
+    def _body_chunk(self, chunk: pb.BodyChunk) -> None:
+        attempt_id = chunk.attempt_id
+        partial = self._partial.get(attempt_id)
+        if partial is None:
+            return
+        size_bytes = len(chunk.data)
+        if partial.size_bytes + size_bytes > self._server.max_body_bytes:
+            self._drop_partial(attempt_id)
+            self._refuse(attempt_id, "body-too-large")
+            return
+        if not self._server.reserve_body_bytes(size_bytes):
+            self._drop_partial(attempt_id)
+            self._refuse(attempt_id, "body-memory-exhausted")
+            return
+        partial.size_bytes += size_bytes
+        partial.pieces.append(chunk.data)
+        if chunk.aborted:
+            self._drop_partial(attempt_id)
+        elif chunk.last:
+            self._drop_partial(attempt_id)
+            self._offer(partial.head, b"".join(partial.pieces))
+        else:
+            self._return_credit(attempt_id, size_bytes)
+
+    def _return_credit(self, attempt_id: str, size_bytes: int) -> None:
+        if size_bytes:
+            credit = pb.Credit(attempt_id=attempt_id, size_bytes=size_bytes)
+            self._frames.send(pb.ForwardFrame(credit=credit))
+
+    def _drop_partial(self, attempt_id: str) -> None:
+        partial = self._partial.pop(attempt_id, None)
+        if partial is not None:
+            self._server.release_body_bytes(partial.size_bytes)
+
+    def _refuse(self, attempt_id: str, reason: str, detail: str = "") -> None:
+        fields = (("attempt_id", attempt_id[:128]), ("reason", reason), ("detail", detail))
+        self._server.report(Report("attempt-not-taken", fields))
+        refusal = pb.Refusal(
+            attempt_id=attempt_id, not_run=True, reason=reason, load=len(self._server.owner)
+        )
+        self._frames.send(pb.ForwardFrame(refusal=refusal))
+
+    def _offer(self, head: pb.RequestHead, body: bytes) -> None:
+        try:
+            request = decode_request(head, body, self._server.settings.requests)
+        except MessageError as error:
+            self._refuse(head.attempt_id, "malformed-attempt", str(error))
+            return
+        work = OfferedWork(
+            attempt_id=head.attempt_id,
+            service=head.service,
+            request_class=head.request_class,
+            deadline_ms=self._server.clock() + head.remaining_ms,
+            idempotent=head.idempotent,
+            idempotency_key=head.idempotency_key,
+            attempt=head.attempt,
+            request=request,
+        )
+        self._server.owner.offer(work, self._new_sink(head.attempt_id), replayable=True)
+
+    def _new_sink(self, attempt_id: str) -> _StreamSink:
+        sink = _StreamSink(attempt_id, self._frames, self._release)
+        self._sinks[attempt_id] = sink
+        return sink
+
+    def _release(self, attempt_id: str) -> None:
+        self._sinks.pop(attempt_id, None)
+
+    def _cancel(self, attempt_id: str) -> None:
+        self._drop_partial(attempt_id)
+        sink = self._sinks.pop(attempt_id, None)
+        if sink is not None:
+            sink.discard()
+            self._server.owner.cancel(attempt_id)
+
+    def _fence(self, fence: pb.Fence) -> None:
+        attempt_id, fence_id = fence.attempt_id, fence.fence_id
+        if not attempt_id or not 0 < len(fence_id) <= MAX_FENCE_ID_CHARACTERS:
+            raise MessageError("fence without an attempt or an id")
+        self._drop_partial(attempt_id)
+        sink = self._sinks.get(attempt_id) or self._new_sink(attempt_id)
+
+        def answer(state: FenceState) -> None:
+            if state is not FenceState.RUNNING and not sink.is_responding():
+                self._release(attempt_id)
+            reply = pb.FenceReply(
+                attempt_id=attempt_id, fence_id=fence_id, state=encode_fence_state(state)
+            )
+            self._frames.send(pb.ForwardFrame(fence_reply=reply))
+
+        self._server.owner.fence(attempt_id, fence_id, sink, answer)
+
+
+class ForwardingServer:
+    """Takes forward streams from ingress nodes.
+
+    :param settings: settings of the node.
+    :param incarnation: incarnation of this process.
+    :param owner: the owner's side of this node.
+    :param clock: monotonic clock in milliseconds.
+    :param report: takes reports of faults.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        incarnation: int,
+        owner: OwnerSide,
+        clock: Callable[[], float],
+        report: Callable[[Report], None],
+    ) -> None:
+        self.settings = settings
+        self.owner = owner
+        self.clock = clock
+        self.report = report
+        self.max_attempts = settings.requests.max_requests
+        self.max_body_bytes = settings.requests.max_body_bytes
+        self._body_bytes = 0
+        self._streams: set[FrameStream] = set()
+        self._identity = StreamIdentity(
+            node_id=settings.identity.node_id,
+            incarnation=incarnation,
+            silent_ms=settings.requests.stream_silent_ms,
+            pings=False,
+        )
+
+    async def forward(self, request_iterator: AsyncIterator[Any], context: Any) -> None:
+        """Serve one ``Forward`` call; registered as the method of the gRPC service.
+
+        :param request_iterator: not used; frames are read from the context.
+        :param context: the call.
+        """
+        if len(self._streams) >= MAX_STREAMS:
+            await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many forward streams")
+        frames = FrameStream(self._identity, context.read, context.write)
+        stream = _ServerStream(self, frames)
+        self._streams.add(frames)
+        try:
+            reason = await frames.run(lambda peer: None, stream.received)
+        finally:
+            self._streams.discard(frames)
+            stream.closed()
+        if reason.startswith("bad-frame"):
+            peer_id = frames.peer.node_id if frames.peer else ""
+            self.report(Report("bad-forward-frame", (("peer_id", peer_id), ("reason", reason))))
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, reason)
+
+    def close(self) -> None:
+        """End every stream."""
+        for frames in list(self._streams):
+            frames.close("shutdown")
+
+    def reserve_body_bytes(self, size_bytes: int) -> bool:
+        """Reserve memory for a request body, or return ``False`` when it is exhausted.
+
+        :param size_bytes: how much.
+        """
+        if self._body_bytes + size_bytes > MAX_INCOMING_BODY_BYTES:
+            return False
+        self._body_bytes += size_bytes
+        return True
+
+    def release_body_bytes(self, size_bytes: int) -> None:
+        """Return reserved memory.
+
+        :param size_bytes: how much.
+        """
+        self._body_bytes -= size_bytes
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/http_ingress/_channel.py
@@ -0,0 +1,201 @@
+"""Connections from callers: bounds, typed refusals, and reading a whole request."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from twisted.web import http
+from zope.interface import provider
+
+from bamboonotch_node.http_ingress._answer import encode_answer
+
+if TYPE_CHECKING:
+    from bamboonotch_node.http_ingress._ingress import HttpIngress
+
+__all__ = ["CallerChannel", "CallerFactory", "CallerHttpRequest"]
+
+IDLE_CONNECTION_S = 60
+# How long a refused caller may go on sending. Closing at once would reset the connection, and the
+# caller would not see the answer.
+LINGER_S = 2.0
+
+
+@provider(http.INonQueuedRequestFactory)
+class CallerHttpRequest(http.Request):
+    """One request of a caller; its body is kept in memory up to a bound.
+
+    :param channel: the connection.
+    """
+
+    def __init__(self, channel: CallerChannel) -> None:
+        super().__init__(channel, parsePOSTFormSubmission=False)
+        self.ingress: HttpIngress = channel.factory.ingress
+        self.request_id = ""
+        self.body_size_bytes = 0
+        self._pieces: list[bytes] = []
+        self._refused = False
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return b"".join(self._pieces)
+
+    def parseCookies(self) -> None:  # noqa: N802
+        """Do nothing; cookies pass through as a header."""
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Refuse a body that announces too much.
+
+        :param length: the announced length in bytes, or ``None``.
+        """
+        if length is not None and length > self.ingress.settings.max_body_bytes:
+            self._refuse(413, "body-too-large")
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a piece of the body.
+
+        :param data: the piece.
+        """
+        if self._refused:
+            return
+        if self.body_size_bytes + len(data) > self.ingress.settings.max_body_bytes:
+            self._refuse(413, "body-too-large")
+        elif not self.ingress.reserve_body_bytes(len(data)):
+            self._refuse(503, "body-memory-exhausted")
+        else:
+            self.body_size_bytes += len(data)
+            self._pieces.append(data)
+
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
+        """Hand the whole request on.
+
+        :param command: the method.
+        :param path: the request target.
+        :param version: the version of HTTP.
+        """
+        if self._refused:
+            return
+        self.method, self.uri, self.clientproto = command, path, version
+        self.ingress.request_received(self)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Report that the caller is gone.
+
+        :param reason: why.
+        """
+        super().connectionLost(reason)
+        self.release_body()
+        self.ingress.caller_gone(self)
+
+    def release_body(self) -> None:
+        """Return the memory of the body."""
+        self.ingress.release_body_bytes(self.body_size_bytes)
+        self.body_size_bytes = 0
+        self._pieces.clear()
+
+    def _refuse(self, status: int, reason: str) -> None:
+        self._refused = True
+        self.release_body()
+        self.channel.refuse(status, reason)
+
+
+class CallerChannel(http.HTTPChannel):
+    """A connection from a caller."""
+
+    requestFactory = CallerHttpRequest  # noqa: N815
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.write_paused = False
+        self._refused = False
+        self._linger: asyncio.TimerHandle | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Apply the bound on headers."""
+        super().connectionMade()
+        self.totalHeadersSize = self.factory.ingress.settings.max_header_bytes
+        self.factory.connections.add(self)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Stop waiting for a refused caller.
+
+        :param reason: why.
+        """
+        self.factory.connections.discard(self)
+        if self._linger is not None:
+            self._linger.cancel()
+        super().connectionLost(reason)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Discard what a refused caller still sends.
+
+        :param data: the bytes.
+        """
+        if not self._refused:
+            super().dataReceived(data)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that the caller does not read."""
+        self.write_paused = True
+        super().pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Note that the caller reads again."""
+        self.write_paused = False
+        super().resumeProducing()
+
+    def refuse(self, status: int, reason: str) -> None:
+        """Answer a request that was not read to its end, and close the connection.
+
+        :param status: HTTP status.
+        :param reason: why, lower case with dashes.
+        """
+        if self._refused:
+            return
+        self._refused = True
+        self.factory.ingress.input_refused(status, reason)
+        self.setTimeout(None)
+        self._linger = asyncio.get_running_loop().call_later(
+            LINGER_S, self.transport.abortConnection
+        )
+        self.transport.write(encode_answer(status, reason))
+        self.transport.loseWriteConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        # The library answers malformed input without a body or headers; the mesh adds the outcome.
+        too_large = self._receivedHeaderSize > self.totalHeadersSize
+        self.refuse(400, "headers-too-large" if too_large else "malformed-request")
+
+
+class CallerFactory(http.HTTPFactory):
+    """Makes the connections of callers; writes no access log.
+
+    :param ingress: takes the requests.
+    :param reactor: the reactor.
+    """
+
+    protocol = CallerChannel
+
+    def __init__(self, ingress: HttpIngress, reactor: Any) -> None:
+        super().__init__(timeout=IDLE_CONNECTION_S, reactor=reactor)
+        self.ingress = ingress
+        self.connections: set[CallerChannel] = set()
+
+    def startFactory(self) -> None:  # noqa: N802
+        """Open no log file and start no clock for log lines."""
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        """Make a connection, or refuse it beyond the bound.
+
+        :param addr: address of the caller.
+        """
+        if len(self.connections) >= 2 * self.ingress.settings.max_requests:
+            return None
+        return super().buildProtocol(addr)
+
+    def log(self, request: Any) -> None:
+        """Write no access log line.
+
+        :param request: the finished request.
+        """
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
@@ -0,0 +1,249 @@
+"""Requests of callers, from their arrival to their answer."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from bamboonotch_core.effects import Report
+from bamboonotch_core.events import Event
+from bamboonotch_core.request_effects import Outcome, PassResponse, RespondToCaller
+from bamboonotch_core.request_events import CallerGone, RequestArrived, ResponseFinished
+from bamboonotch_core.settings import NodeSettings
+from bamboonotch_node.backend import CallerRequest
+from bamboonotch_node.forwarding import EffectHandlers, ForwardingClient
+from bamboonotch_node.http_ingress._answer import answer_body, retry_after_s
+from bamboonotch_node.http_ingress._channel import CallerFactory, CallerHttpRequest
+from bamboonotch_node.http_ingress._checks import (
+    BadRequestError,
+    RequestHeaders,
+    end_to_end_headers,
+    read_request_headers,
+)
+from bamboonotch_node.http_ingress._response import CallerResponse
+
+__all__ = ["HttpIngress"]
+
+# Bodies of all requests in progress together; the node has 256 MB for everything.
+MAX_BODY_MEMORY_BYTES = 64 * 1024 * 1024
+
+
+class _Pending:
+    """A request whose caller waits.
+
+    :param http_request: the library's request.
+    :param request: what travels to the owner.
+    """
+
+    def __init__(self, http_request: CallerHttpRequest, request: CallerRequest) -> None:
+        self.http_request = http_request
+        self.request = request
+        self.response: CallerResponse | None = None
+
+
+class HttpIngress:
+    """Turns callers' requests into events and carries out the effects that answer them.
+
+    :param settings: settings of the node.
+    :param incarnation: incarnation of this process.
+    :param reactor: the reactor.
+    :param dispatch: takes each event.
+    :param clock: monotonic clock in milliseconds.
+    :param running_version: returns the version of the configuration that this node runs.
+    :param report: takes reports of faults.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        incarnation: int,
+        reactor: Any,
+        dispatch: Callable[[Event], None],
+        clock: Callable[[], float],
+        running_version: Callable[[], int],
+        report: Callable[[Report], None],
+    ) -> None:
+        self.settings = settings.requests
+        self.factory = CallerFactory(self, reactor)
+        self.forwarding: ForwardingClient | None = None
+        self._id_prefix = f"{settings.identity.node_id}-{incarnation:x}-"
+        self._next_number = 0
+        self._dispatch = dispatch
+        self._clock = clock
+        self._running_version = running_version
+        self._report = report
+        self._pending: dict[str, _Pending] = {}
+        self._body_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def find_request(self, request_id: str) -> CallerRequest | None:
+        """Return a request whose caller waits.
+
+        :param request_id: the request.
+        """
+        pending = self._pending.get(request_id)
+        return None if pending is None else pending.request
+
+    def close(self) -> None:
+        """Break the connections of all callers."""
+        for channel in list(self.factory.connections):
+            channel.transport.abortConnection()
+
+    def reserve_body_bytes(self, size_bytes: int) -> bool:
+        """Reserve memory for a body, or return ``False`` when it is exhausted.
+
+        :param size_bytes: how much.
+        """
+        if self._body_bytes + size_bytes > MAX_BODY_MEMORY_BYTES:
+            return False
+        self._body_bytes += size_bytes
+        return True
+
+    def release_body_bytes(self, size_bytes: int) -> None:
+        """Return reserved memory.
+
+        :param size_bytes: how much.
+        """
+        self._body_bytes -= size_bytes
+
+    def input_refused(self, status: int, reason: str) -> None:
+        """Report input that was refused before it became a request.
+
+        :param status: HTTP status of the answer.
+        :param reason: why, lower case with dashes.
+        """
+        self._report(Report("caller-input-refused", (("status", status), ("reason", reason))))
+
+    def request_received(self, http_request: CallerHttpRequest) -> None:
+        """Take a request that was read completely.
+
+        :param http_request: the library's request.
+        """
+        try:
+            checked = self._check(http_request)
+        except BadRequestError as error:
+            self.input_refused(error.status, error.reason)
+            retry_after_ms = 1000 if error.status == 503 else 0
+            self._answer(http_request, Outcome.NOT_RUN, error.reason, error.status, retry_after_ms)
+            return
+        self._arrive(http_request, checked)
+
+    def caller_gone(self, http_request: CallerHttpRequest) -> None:
+        """Note that a caller's connection was lost.
+
+        :param http_request: the library's request.
+        """
+        pending = self._pending.pop(http_request.request_id, None)
+        if pending is None:
+            return
+        if pending.response is not None:
+            pending.response.close()
+        self._dispatch(CallerGone(now_ms=self._clock(), request_id=http_request.request_id))
+        self._release(http_request.request_id)
+
+    def _check(self, http_request: CallerHttpRequest) -> RequestHeaders:
+        if len(self._pending) >= self.settings.max_requests:
+            raise BadRequestError(503, "too-many-requests")
+        if not http_request.uri.startswith(b"/") or not http_request.uri.isascii():
+            raise BadRequestError(400, "invalid-request-target")
+        return read_request_headers(http_request.requestHeaders, self.settings)
+
+    def _arrive(self, http_request: CallerHttpRequest, checked: RequestHeaders) -> None:
+        self._next_number += 1
+        request_id = f"{self._id_prefix}{self._next_number:x}"
+        http_request.request_id = request_id
+        request = CallerRequest(
+            request_id=request_id,
+            method=http_request.method.decode("ascii"),
+            path=http_request.uri.decode("ascii"),
+            headers=end_to_end_headers(http_request.requestHeaders),
+            body=http_request.body,
+        )
+        self._pending[request_id] = _Pending(http_request, request)
+        self._dispatch(
+            RequestArrived(
+                now_ms=self._clock(),
+                request_id=request_id,
+                method=request.method,
+                path=request.path,
+                timeout_ms=checked.timeout_ms,
+                idempotency_key=checked.idempotency_key,
+                attempt=checked.attempt,
+                unix_ms=int(time.time() * 1000),
+            )
+        )
+
+    @property
+    def handlers(self) -> EffectHandlers:
+        """What carries out each effect of the answers to callers, by its type."""
+        return {
+            PassResponse: self._pass_response,
+            RespondToCaller: self._respond_to_caller,
+        }
+
+    def _pass_response(self, effect: PassResponse) -> None:
+        pending = self._pending.get(effect.request_id)
+        assert self.forwarding is not None
+        attempt = self.forwarding.find_attempt(effect.attempt_id)
+        if pending is None or pending.response is not None or attempt is None:
+            return
+        pending.response = CallerResponse(
+            pending.http_request,
+            attempt,
+            self._running_version(),
+            lambda complete: self._response_ended(effect.request_id, complete),
+        )
+        attempt.attach(pending.response)
+
+    def _respond_to_caller(self, effect: RespondToCaller) -> None:
+        pending = self._pending.get(effect.request_id)
+        if pending is None or pending.response is not None:
+            return
+        del self._pending[effect.request_id]
+        self._answer(
+            pending.http_request,
+            effect.outcome,
+            effect.reason,
+            effect.status,
+            effect.retry_after_ms,
+        )
+        self._release(effect.request_id)
+
+    def _response_ended(self, request_id: str, complete: bool) -> None:
+        pending = self._pending.pop(request_id, None)
+        if pending is None:
+            return
+        pending.http_request.release_body()
+        self._dispatch(
+            ResponseFinished(now_ms=self._clock(), request_id=request_id, complete=complete)
+        )
+        self._release(request_id)
+
+    def _answer(
+        self,
+        http_request: CallerHttpRequest,
+        outcome: Outcome,
+        reason: str,
+        status: int,
+        retry_after_ms: int,
+    ) -> None:
+        body = answer_body(outcome.value, reason)
+        http_request.setResponseCode(status)
+        headers = http_request.responseHeaders
+        headers.setRawHeaders(b"Bamboonotch-Outcome", [outcome.value.encode("ascii")])
+        headers.setRawHeaders(b"Bamboonotch-Reason", [reason.encode("latin-1", "replace")])
+        headers.setRawHeaders(b"Bamboonotch-Version", [b"%d" % self._running_version()])
+        headers.setRawHeaders(b"Content-Type", [b"application/json"])
+        headers.setRawHeaders(b"Content-Length", [b"%d" % len(body)])
+        if retry_after_ms:
+            headers.setRawHeaders(b"Retry-After", [b"%d" % retry_after_s(retry_after_ms)])
+        http_request.release_body()
+        http_request.write(body)
+        http_request.finish()
+
+    def _release(self, request_id: str) -> None:
+        if self.forwarding is not None:
+            self.forwarding.release(request_id)
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -0,0 +1,89 @@
+"""The whole request path of one node, wired together."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from bamboonotch_core.effects import Effect, Report
+from bamboonotch_core.events import Event
+from bamboonotch_core.settings import NodeSettings
+from bamboonotch_node.backend import BackendClient
+from bamboonotch_node.forwarding import ForwardingClient, ForwardingServer, OwnerSide
+from bamboonotch_node.http_ingress._ingress import HttpIngress
+
+__all__ = ["RequestPath", "monotonic_ms"]
+
+# A stream notices silence up to one check (500 ms) late.
+SILENCE_CHECK_MS = 500
+
+
+def monotonic_ms() -> float:
+    """Return the monotonic clock in milliseconds."""
+    return time.monotonic() * 1000
+
+
+class RequestPath:
+    """Owns the HTTP ingress, the forward streams and the client of the backend server.
+
+    :param settings: settings of the node.
+    :param incarnation: incarnation of this process.
+    :param reactor: the asyncio reactor of the running loop.
+    :param dispatch: takes each event.
+    :param running_version: returns the version of the configuration that this node runs.
+    :param load: returns the work in slots and queue of the local backend server.
+    :param report: takes reports of faults.
+    :param clock: monotonic clock in milliseconds.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        incarnation: int,
+        reactor: Any,
+        dispatch: Callable[[Event], None],
+        running_version: Callable[[], int],
+        load: Callable[[], int],
+        report: Callable[[Report], None],
+        clock: Callable[[], float] = monotonic_ms,
+    ) -> None:
+        requests = settings.requests
+        orphan_ms = requests.stream_silent_ms + SILENCE_CHECK_MS + requests.fence_timeout_ms
+        self.backend = BackendClient(reactor, clock, load)
+        self.owner = OwnerSide(self.backend, dispatch, clock, orphan_ms)
+        self.server = ForwardingServer(settings, incarnation, self.owner, clock, report)
+        self.ingress = HttpIngress(
+            settings, incarnation, reactor, dispatch, clock, running_version, report
+        )
+        self.client = ForwardingClient(
+            settings,
+            incarnation,
+            dispatch,
+            clock,
+            self.ingress.find_request,
+            self.owner,
+            report,
+        )
+        self.ingress.forwarding = self.client
+        self._handlers = {
+            **self.ingress.handlers,
+            **self.client.handlers,
+            **self.owner.handlers,
+        }
+
+    def carry_out(self, effect: Effect) -> None:
+        """Carry out an effect of the request part; others are ignored.
+
+        :param effect: the effect.
+        """
+        handler = self._handlers.get(type(effect))
+        if handler is not None:
+            handler(effect)
+
+    async def close(self) -> None:
+        """Break every connection and stream."""
+        self.ingress.close()
+        self.server.close()
+        await self.client.close()
+        self.backend.close()
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/http_ingress/_response.py
@@ -0,0 +1,115 @@
+"""An owner's response on its way to the caller."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.web.http import NO_BODY_CODES
+from zope.interface import implementer
+
+from bamboonotch_node.backend import ResponseStart
+from bamboonotch_node.forwarding import IncomingAttempt
+from bamboonotch_node.http_ingress._channel import CallerHttpRequest
+from bamboonotch_node.http_ingress._checks import HOP_BY_HOP
+
+__all__ = ["CallerResponse"]
+
+MESH_PREFIX = b"bamboonotch-"
+
+
+@implementer(IPushProducer)
+class CallerResponse:
+    """Writes a response to the caller, as fast as the caller reads.
+
+    :param http_request: the caller's request.
+    :param attempt: where the response comes from.
+    :param version: version of the configuration that this node runs.
+    :param ended: called once, with whether the caller has the complete response.
+    """
+
+    def __init__(
+        self,
+        http_request: CallerHttpRequest,
+        attempt: IncomingAttempt,
+        version: int,
+        ended: Callable[[bool], None],
+    ) -> None:
+        self._http = http_request
+        self._attempt = attempt
+        self._version = version
+        self._ended = ended
+        self._declared_bytes: int | None = None
+        self._written_bytes = 0
+        self._over = False
+
+    def start(self, head: ResponseStart) -> None:
+        """Write the head.
+
+        :param head: the head.
+        """
+        http_request = self._http
+        http_request.setResponseCode(head.status)
+        headers = http_request.responseHeaders
+        for name, value in head.headers:
+            raw_name = name.encode("ascii")
+            lowered = raw_name.lower()
+            if lowered == b"content-length":
+                self._declare_length(value, head.status)
+            elif lowered in HOP_BY_HOP or lowered.startswith(MESH_PREFIX):
+                continue
+            headers.addRawHeader(raw_name, value.encode("latin-1"))
+        headers.setRawHeaders(b"Bamboonotch-Outcome", [b"done"])
+        headers.setRawHeaders(b"Bamboonotch-Version", [b"%d" % self._version])
+        http_request.registerProducer(self, True)
+        if http_request.channel.write_paused:
+            self._attempt.pause()
+
+    def _declare_length(self, value: str, status: int) -> None:
+        bodiless = self._http.method == b"HEAD" or status in NO_BODY_CODES
+        if value.isdigit() and not bodiless:
+            self._declared_bytes = int(value)
+
+    def write(self, data: bytes) -> None:
+        """Write a piece of the body.
+
+        :param data: the piece.
+        """
+        if self._over:
+            return
+        self._written_bytes += len(data)
+        self._http.write(data)
+
+    def finish(self, complete: bool) -> None:
+        """End the response, or break the connection when it is not complete.
+
+        :param complete: whether all of it arrived.
+        """
+        if self._over:
+            return
+        self._over = True
+        if self._declared_bytes is not None and self._written_bytes != self._declared_bytes:
+            complete = False
+        self._http.unregisterProducer()
+        if not complete:
+            # Any orderly end could be taken for the end of the body.
+            self._http.channel.transport.abortConnection()
+        self._ended(complete)
+        if complete:
+            self._http.finish()
+
+    def close(self) -> None:
+        """Write nothing more, because the caller is gone."""
+        self._over = True
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Hold the response, because the caller does not read."""
+        self._attempt.pause()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Pass the response on again."""
+        self._attempt.resume()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Stop, because the connection is lost."""
+        self._over = True
--- a/packages/node/src/bamboonotch_node/logs.py
+++ b/packages/node/src/bamboonotch_node/logs.py
@@ -67,7 +67,7 @@
     :param node_id: added to each line.
     :param stream: where lines go.
     """
-    eliot.add_destinations(KeyValueDestination(stream or sys.stderr, {"node_id": node_id}))
+    eliot.add_destinations(KeyValueDestination(stream or sys.stderr, {"node": node_id}))
 
 
 def log_event(name: str, **fields: Any) -> None:
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -0,0 +1,307 @@
+"""The runtime of one node."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import traceback
+from collections import deque
+from dataclasses import replace
+from functools import singledispatchmethod
+from random import Random
+from types import TracebackType
+from typing import Any
+
+from bamboonotch_core.configuration import decode_entry
+from bamboonotch_core.effects import (
+    CloseLink,
+    Effect,
+    OpenLink,
+    Report,
+    SendMessage,
+    StopProcess,
+)
+from bamboonotch_core.errors import BamboonotchError
+from bamboonotch_core.events import Event, ShutdownRequested, Tick
+from bamboonotch_core.membership import backend_server_address, own_record
+from bamboonotch_core.reducer import reduce
+from bamboonotch_core.request_effects import ForwardAttempt, SendFence
+from bamboonotch_core.settings import NodeSettings
+from bamboonotch_core.state import NodeState, make_node_state
+from bamboonotch_node.admin import make_admin_site
+from bamboonotch_node.backend import ResponseStart
+from bamboonotch_node.clock import now_ms, unix_ms
+from bamboonotch_node.control import ControlLinks, LocalIdentity, PeerServer
+from bamboonotch_node.history import EventHistory
+from bamboonotch_node.http_ingress import RequestPath
+from bamboonotch_node.logs import log_event
+from bamboonotch_node.metrics import NodeMetrics
+from bamboonotch_node.runtime import _views as views
+from bamboonotch_node.runtime._request_observer import RequestObserver
+from bamboonotch_node.runtime._store_driver import StoreDriver
+from bamboonotch_store.client import StoreCall
+
+__all__ = ["NodeRuntime"]
+
+TICK_S = 0.1
+UNKNOWN_TENANT = "none"
+
+
+class NodeRuntime:
+    """Turns input into events and effects into output; leaving the context closes everything.
+
+    :param settings: settings of the node.
+    :param incarnation: start time of the process, in milliseconds since 1970.
+    :param seed: seed of every random choice.
+    :param reactor: Twisted's asyncio reactor of the running loop.
+    """
+
+    def __init__(self, settings: NodeSettings, incarnation: int, seed: int, reactor: Any) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._state = make_node_state(settings, incarnation, seed, now_ms())
+        self._queue: deque[Event] = deque()
+        self._draining_queue = False
+        self._stopped = asyncio.Event()
+        self._history = EventHistory()
+        self._metrics = NodeMetrics()
+        self._translation = dict(settings.address_translation)
+        self._stack = contextlib.AsyncExitStack()
+        self._ticker: asyncio.TimerHandle | None = None
+        self._path = RequestPath(
+            settings,
+            incarnation,
+            reactor,
+            self.dispatch,
+            lambda: self._state.distribution.running_version,
+            lambda: self._state.admission.slots_held + self._state.admission.queued,
+            self.report,
+            now_ms,
+        )
+        self._observer = RequestObserver(self._metrics, self._find_tenant, self._find_response)
+        self._links = ControlLinks(
+            LocalIdentity(settings.identity, incarnation),
+            self._translation,
+            self.dispatch,
+            self._metrics.count_control,
+            self._report_malformed_message,
+        )
+        self._store = StoreDriver(
+            settings, reactor, Random(seed), self.dispatch, self.report, self._count_store_call
+        )
+
+    async def __aenter__(self) -> NodeRuntime:
+        async with contextlib.AsyncExitStack() as stack:
+            identity = self._settings.identity
+            await self._listen(identity.admin_address, make_admin_site(self), stack)
+            await stack.enter_async_context(self._store)
+            stack.push_async_callback(self._path.close)
+            await stack.enter_async_context(self._links)
+            peer_address = identity.peer_listen_address or identity.peer_address
+            server = PeerServer(peer_address, self._links, self._path.server.forward)
+            await stack.enter_async_context(server)
+            await self._listen(identity.http_address, self._path.ingress.factory, stack)
+            self._stack = stack.pop_all()
+        self.report(Report("node-started", (("incarnation", own_record_incarnation(self._state)),)))
+        self._tick()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._ticker is not None:
+            self._ticker.cancel()
+        self.report(Report("node-stopped"))
+        await self._stack.aclose()
+
+    async def wait_stopped(self) -> None:
+        """Wait until the reducer decides that the process ends."""
+        await self._stopped.wait()
+
+    def request_shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+        self.dispatch(ShutdownRequested(now_ms()))
+
+    def dispatch(self, event: Event) -> None:
+        """Reduce an event and carry out its effects, after those already in progress.
+
+        :param event: the event.
+        """
+        self._queue.append(event)
+        if self._draining_queue:
+            return
+        self._draining_queue = True
+        try:
+            while self._queue:
+                self._handle(self._queue.popleft())
+        finally:
+            self._draining_queue = False
+
+    def report(self, report: Report) -> None:
+        """Log a report, keep it for the explain interface and count it.
+
+        :param report: the report.
+        """
+        self._history.record(unix_ms(), report)
+        self._metrics.count_event(report.name)
+        log_event(report.name, **dict(report.fields))
+
+    def report_malformed(self, source: str, fault: str) -> None:
+        """Report malformed input.
+
+        :param source: where it came from.
+        :param fault: what is wrong with it.
+        """
+        self.report(Report(f"malformed-{source}", (("fault", fault),)))
+
+    def status(self) -> dict[str, Any]:
+        """Return the node's status."""
+        return views.describe_status(self._state)
+
+    def members(self) -> list[dict[str, Any]]:
+        """Return every member record known."""
+        return views.describe_members(self._state)
+
+    def configuration(self) -> dict[str, Any]:
+        """Return the version held and its document."""
+        distribution = self._state.distribution
+        return {"version": distribution.held_version, "document": distribution.held_document}
+
+    def explain_request(self, method: str, path: str) -> dict[str, Any]:
+        """Explain where a request would go.
+
+        :param method: HTTP method.
+        :param path: request path.
+        """
+        return views.describe_request(self._state, method, path, now_ms())
+
+    def explain_version(self) -> dict[str, Any]:
+        """Explain why this node runs the version that it runs."""
+        return views.describe_version(self._state)
+
+    def events(self, limit: int, prefix: str) -> list[dict[str, Any]]:
+        """Return the newest reported events.
+
+        :param limit: events returned at most.
+        :param prefix: only events whose name starts with this.
+        """
+        return [event.as_json() for event in self._history.newest(limit, prefix)]
+
+    def metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        distribution = self._state.distribution
+        self._metrics.set_versions(
+            distribution.held_version, distribution.running_version, distribution.serving
+        )
+        self._metrics.set_members(views.count_members(self._state))
+        return self._metrics.render()
+
+    async def _listen(self, address: str, factory: Any, stack: contextlib.AsyncExitStack) -> None:
+        host, _, port = address.rpartition(":")
+        listener = self._reactor.listenTCP(int(port), factory, interface=host, backlog=1024)
+        stack.callback(listener.stopListening)
+
+    def _tick(self) -> None:
+        self._ticker = asyncio.get_running_loop().call_later(TICK_S, self._tick)
+        self.dispatch(Tick(now_ms()))
+
+    def _handle(self, event: Event) -> None:
+        self._observer.see_event(event)
+        before = self._state
+        try:
+            transition = reduce(before, event)
+        except Exception as error:  # noqa: BLE001
+            # A fault in the decision code must not stop the node: the event changes nothing.
+            self._report_fault("event-failed", type(event).__name__, error)
+            return
+        self._state = transition.state
+        if transition.state.membership is not before.membership:
+            self._path.backend.address = backend_server_address(transition.state.membership)
+        for effect in transition.effects:
+            self._perform(effect)
+        if transition.state.distribution is not before.distribution:
+            self._note_running_version(before, transition.state)
+
+    def _perform(self, effect: Effect) -> None:
+        self._observer.see_effect(effect)
+        try:
+            self._carry_out(effect)
+        except Exception as error:  # noqa: BLE001
+            self._report_fault("effect-failed", type(effect).__name__, error)
+
+    @singledispatchmethod
+    def _carry_out(self, effect: Effect) -> None:
+        self._path.carry_out(effect)
+        self._store.carry_out(effect)
+
+    @_carry_out.register
+    def _(self, effect: SendMessage) -> None:
+        self._links.send(effect.link_id, effect.message)
+
+    @_carry_out.register
+    def _(self, effect: OpenLink) -> None:
+        self._links.open(effect.address)
+
+    @_carry_out.register
+    def _(self, effect: CloseLink) -> None:
+        self._links.close(effect.link_id, effect.reason)
+
+    @_carry_out.register
+    def _(self, effect: Report) -> None:
+        self.report(effect)
+
+    @_carry_out.register
+    def _(self, effect: StopProcess) -> None:
+        del effect
+        self._stopped.set()
+
+    @_carry_out.register(ForwardAttempt)
+    @_carry_out.register(SendFence)
+    def _(self, effect: Any) -> None:
+        self._path.carry_out(self._translate(effect))
+
+    def _translate(self, effect: Any) -> Any:
+        dialled = self._translation.get(effect.owner_address)
+        if dialled is None:
+            return effect
+        return replace(effect, owner_address=dialled)
+
+    def _note_running_version(self, before: NodeState, after: NodeState) -> None:
+        version = after.distribution.running_version
+        if version == before.distribution.running_version:
+            return
+        data = after.distribution.entries.get(version)
+        if data is None:
+            return
+        with contextlib.suppress(BamboonotchError):
+            accepted_ms = decode_entry(data).accepted_at_unix_ms
+            self._metrics.observe_convergence(max(0.0, unix_ms() - accepted_ms))
+
+    def _find_tenant(self, service: str) -> str:
+        found = self._state.distribution.running_configuration.services.get(service)
+        return UNKNOWN_TENANT if found is None else found.tenant
+
+    def _find_response(self, attempt_id: str) -> ResponseStart | None:
+        attempt = self._path.client.find_attempt(attempt_id)
+        return None if attempt is None else attempt.head
+
+    def _count_store_call(self, call: StoreCall) -> None:
+        self._metrics.count_store_call(call.kind.value, call.duration_ms, call.result.value)
+
+    def _report_malformed_message(self, link_id: str, fault: str) -> None:
+        self.report(Report("malformed-message", (("link_id", link_id), ("fault", fault))))
+
+    def _report_fault(self, name: str, subject: str, error: Exception) -> None:
+        trace = "".join(traceback.format_exception(error)[-3:])
+        self.report(Report(name, (("subject", subject), ("fault", trace))))
+
+
+def own_record_incarnation(state: NodeState) -> int:
+    """Return the incarnation in the node's own record.
+
+    :param state: the state.
+    """
+    return own_record(state.membership).incarnation
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/runtime/_request_observer.py
@@ -0,0 +1,163 @@
+"""Derives request metrics from the events and effects of the request part."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from bamboonotch_core.effects import Effect
+from bamboonotch_core.events import Event
+from bamboonotch_core.request_effects import (
+    DispatchToBackend,
+    ForwardAttempt,
+    PassResponse,
+    RefuseWork,
+    RespondToCaller,
+)
+from bamboonotch_core.request_events import (
+    BackendFinished,
+    CallerGone,
+    RequestArrived,
+    ResponseFinished,
+    WorkCancelled,
+    WorkOffered,
+)
+from bamboonotch_node.backend import ResponseStart
+from bamboonotch_node.clock import now_ms
+from bamboonotch_node.metrics import NodeMetrics
+
+__all__ = ["RequestObserver"]
+
+UNROUTED = "none"
+
+
+@dataclass(slots=True)
+class _Request:
+    """A request in progress at the ingress."""
+
+    arrived_ms: float
+    service: str = UNROUTED
+    request_class: str = UNROUTED
+    added_ms: float | None = None
+
+
+@dataclass(slots=True)
+class _Work:
+    """An attempt in progress at the owner."""
+
+    offered_ms: float
+    service: str
+    request_class: str
+    dispatched_ms: float | None = None
+
+
+class RequestObserver:
+    """Watches events and effects, and records histograms for each class and service.
+
+    :param metrics: takes the observations.
+    :param find_tenant: returns the customer of a service.
+    :param find_response: returns the head of an attempt's response, or ``None``.
+    """
+
+    def __init__(
+        self,
+        metrics: NodeMetrics,
+        find_tenant: Callable[[str], str],
+        find_response: Callable[[str], ResponseStart | None],
+    ) -> None:
+        self._metrics = metrics
+        self._find_tenant = find_tenant
+        self._find_response = find_response
+        self._requests: dict[str, _Request] = {}
+        self._works: dict[str, _Work] = {}
+
+    @singledispatchmethod
+    def see_event(self, event: Event) -> None:
+        """Note an event; events of other parts are ignored.
+
+        :param event: the event.
+        """
+
+    @see_event.register
+    def _(self, event: RequestArrived) -> None:
+        self._requests[event.request_id] = _Request(event.now_ms)
+
+    @see_event.register
+    def _(self, event: ResponseFinished) -> None:
+        self._finish_request(event.request_id, "done" if event.complete else "broken")
+
+    @see_event.register
+    def _(self, event: CallerGone) -> None:
+        self._finish_request(event.request_id, "caller-gone")
+
+    @see_event.register
+    def _(self, event: WorkOffered) -> None:
+        self._works[event.attempt_id] = _Work(event.now_ms, event.service, event.request_class)
+
+    @see_event.register
+    def _(self, event: BackendFinished) -> None:
+        work = self._works.pop(event.attempt_id, None)
+        if work is None or work.dispatched_ms is None:
+            return
+        self._metrics.observe_work(
+            self._find_tenant(work.service),
+            work.request_class,
+            work.service,
+            work.dispatched_ms - work.offered_ms,
+            event.latency_ms,
+        )
+
+    @see_event.register
+    def _(self, event: WorkCancelled) -> None:
+        work = self._works.get(event.attempt_id)
+        if work is not None and work.dispatched_ms is None:
+            del self._works[event.attempt_id]
+
+    @singledispatchmethod
+    def see_effect(self, effect: Effect) -> None:
+        """Note an effect; effects of other parts are ignored.
+
+        :param effect: the effect.
+        """
+
+    @see_effect.register
+    def _(self, effect: ForwardAttempt) -> None:
+        request = self._requests.get(effect.request_id)
+        if request is not None:
+            request.service = effect.service
+            request.request_class = effect.request_class
+
+    @see_effect.register
+    def _(self, effect: PassResponse) -> None:
+        request = self._requests.get(effect.request_id)
+        head = self._find_response(effect.attempt_id)
+        if request is not None and head is not None:
+            elapsed_ms = now_ms() - request.arrived_ms
+            request.added_ms = max(0.0, elapsed_ms - head.backend_ms - head.queue_ms)
+
+    @see_effect.register
+    def _(self, effect: RespondToCaller) -> None:
+        self._finish_request(effect.request_id, effect.outcome.value)
+
+    @see_effect.register
+    def _(self, effect: DispatchToBackend) -> None:
+        work = self._works.get(effect.attempt_id)
+        if work is not None:
+            work.dispatched_ms = now_ms()
+
+    @see_effect.register
+    def _(self, effect: RefuseWork) -> None:
+        self._works.pop(effect.attempt_id, None)
+
+    def _finish_request(self, request_id: str, outcome: str) -> None:
+        request = self._requests.pop(request_id, None)
+        if request is None:
+            return
+        self._metrics.observe_request(
+            self._find_tenant(request.service),
+            request.request_class,
+            request.service,
+            outcome,
+            request.added_ms,
+        )
--- /dev/null
+++ b/packages/node/src/bamboonotch_node/runtime/_views.py
@@ -0,0 +1,135 @@
+"""Answers of the admin interface, read from the state."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import Counter
+from typing import Any
+
+from bamboonotch_core.member_record import MemberRecord
+from bamboonotch_core.membership import (
+    backend_server_address,
+    find_member,
+    is_draining,
+    neighbours,
+    own_record,
+)
+from bamboonotch_core.routing import explain_route
+from bamboonotch_core.state import NodeState
+
+__all__ = [
+    "count_members",
+    "describe_members",
+    "describe_request",
+    "describe_status",
+    "describe_version",
+]
+
+
+def _plain(value: Any) -> Any:
+    """Return a value made of dictionaries, lists and JSON scalars."""
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return {
+            field.name: _plain(getattr(value, field.name)) for field in dataclasses.fields(value)
+        }
+    if isinstance(value, tuple | list | frozenset | set):
+        return [_plain(item) for item in value]
+    return getattr(value, "value", value)
+
+
+def _describe_record(record: MemberRecord) -> dict[str, Any]:
+    plain: dict[str, Any] = _plain(record)
+    return plain
+
+
+def describe_status(state: NodeState) -> dict[str, Any]:
+    """Return the node's status.
+
+    :param state: the state.
+    """
+    distribution = state.distribution
+    record = own_record(state.membership)
+    return {
+        "node_id": record.node_id,
+        "incarnation": record.incarnation,
+        "region": record.region,
+        "data_centre": record.data_centre,
+        "held_version": distribution.held_version,
+        "running_version": distribution.running_version,
+        "serving": distribution.serving,
+        "reason": distribution.not_serving_reason,
+        "service": record.service,
+        "state": record.state.value,
+        "draining": is_draining(state.membership),
+        "shutting_down": state.shutdown_deadline_ms is not None,
+        "backend_server_address": backend_server_address(state.membership),
+        "relay_slot": record.relay_slot,
+        "members_known": len(state.membership.directory.records),
+        "neighbours": [link.node_id for link in neighbours(state.membership)],
+        "store_reachable": distribution.store_reachable,
+        "store_reader": state.view.is_store_reader,
+        "requests_in_progress": len(state.outcomes.requests),
+    }
+
+
+def describe_members(state: NodeState) -> list[dict[str, Any]]:
+    """Return every member record known.
+
+    :param state: the state.
+    """
+    records = state.membership.directory.records
+    return [_describe_record(records[node_id]) for node_id in sorted(records)]
+
+
+def count_members(state: NodeState) -> dict[str, int]:
+    """Count the members by state.
+
+    :param state: the state.
+    """
+    records = state.membership.directory.records.values()
+    return dict(Counter(record.state.value for record in records))
+
+
+def describe_version(state: NodeState) -> dict[str, Any]:
+    """Explain why this node runs the version that it runs.
+
+    :param state: the state.
+    """
+    distribution = state.distribution
+    candidate = distribution.candidate
+    return {
+        "held_version": distribution.held_version,
+        "running_version": distribution.running_version,
+        "serving": distribution.serving,
+        "reason": distribution.not_serving_reason,
+        "source": _plain(distribution.held_source),
+        "start_proof": distribution.proof,
+        "waiting_for_witnesses_of": None if candidate is None else candidate.version,
+        "refused": [list(item) for item in distribution.refused],
+        "store_reachable": distribution.store_reachable,
+        "neighbour_versions": {
+            link.node_id: peer.held_version
+            for link in neighbours(state.membership)
+            if (peer := distribution.peers.get(link.link_id)) is not None
+        },
+    }
+
+
+def describe_request(state: NodeState, method: str, path: str, now_ms: float) -> dict[str, Any]:
+    """Explain where a request would go.
+
+    :param state: the state.
+    :param method: HTTP method.
+    :param path: request path.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    outcomes = state.outcomes
+    explanation = explain_route(
+        state.table, method, path, outcomes.settings, outcomes.views, now_ms
+    )
+    plain: dict[str, Any] = _plain(explanation)
+    for owner in plain.get("owners", []):
+        record = find_member(state.membership, owner.get("node_id", ""))
+        if record is not None:
+            owner["state"] = record.state.value
+    return plain
--- /dev/null
+++ b/packages/store/src/bamboonotch_store/errors.py
@@ -0,0 +1,23 @@
+"""Exceptions of the store adapter, next to those of ``bamboonotch_core.errors``."""
+
+from __future__ import annotations
+
+from bamboonotch_core.errors import BamboonotchError, StoreError
+
+__all__ = ["ClaimKeyError", "SessionInvalidError", "StoreRefusedError", "VersionAbsentError"]
+
+
+class StoreRefusedError(StoreError):
+    """The store refused a call as wrong, for example a value above its size limit."""
+
+
+class SessionInvalidError(StoreError):
+    """The session of a call does not exist, or its lease has lapsed."""
+
+
+class VersionAbsentError(BamboonotchError):
+    """A version was asked for that has not been accepted."""
+
+
+class ClaimKeyError(BamboonotchError):
+    """An idempotency key is not a UUID of version 7, or its time is outside the window."""
--- /dev/null
+++ b/packages/store/src/bamboonotch_store/http.py
@@ -0,0 +1,208 @@
+"""HTTP exchanges by IP address: one pool of connections, a deadline on each exchange."""
+
+from __future__ import annotations
+
+import io
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.error import ConnectError, ConnectionClosed, DNSLookupError, UserError
+from twisted.python.failure import Failure
+from twisted.web._newclient import RequestNotSent
+from twisted.web.client import (
+    URI,
+    Agent,
+    FileBodyProducer,
+    HTTPConnectionPool,
+    PartialDownloadError,
+    ResponseFailed,
+    ResponseNeverReceived,
+    readBody,
+)
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
+
+from bamboonotch_core.errors import BamboonotchError
+
+__all__ = ["ExchangeFailedError", "HttpAnswer", "HttpExchange", "HttpTransport"]
+
+MAX_IDLE_CONNECTIONS = 8
+# Shorter than the minute after which common servers close an idle connection.
+IDLE_CONNECTION_S = 20
+
+_CONNECTION_ERRORS = (
+    ConnectError,
+    ConnectionClosed,
+    DNSLookupError,
+    PartialDownloadError,
+    RequestNotSent,
+    ResponseFailed,
+    ResponseNeverReceived,
+    UserError,
+)
+
+
+class ExchangeFailedError(BamboonotchError):
+    """No whole answer came in time; the server may or may not have acted on the request."""
+
+
+@dataclass(frozen=True)
+class HttpExchange:
+    """One request.
+
+    :param address: ``ip:port`` of the server.
+    :param method: HTTP method.
+    :param path: path without query, not yet escaped.
+    :param parameters: query parameters.
+    :param body: request body.
+    :param deadline_ms: longest wait for the whole answer, in milliseconds.
+    """
+
+    address: str
+    method: str
+    path: str
+    parameters: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline_ms: float
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """The server's answer.
+
+    :param status: HTTP status.
+    :param index: text of the header ``X-Consul-Index``, or empty.
+    :param body: response body.
+    """
+
+    status: int
+    index: str
+    body: bytes
+
+
+def _describe(error: Exception) -> str:
+    """Return the text of an error without the failure objects that the library nests."""
+    reasons = getattr(error, "reasons", None)
+    if reasons:
+        return ", ".join(_describe(reason.value) for reason in reasons)
+    return str(error) or type(error).__name__
+
+
+@implementer(IAgentEndpointFactory)
+class _EndpointFactory:
+    """Dials IP addresses; the library's own endpoint reports a refused connection 300 ms late.
+
+    :param reactor: Twisted reactor.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint | TCP6ClientEndpoint:  # noqa: N802
+        """Return the endpoint of a URI."""
+        host = uri.host.decode().strip("[]")
+        endpoint = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
+        return endpoint(self._reactor, host, uri.port)
+
+
+class _Cancellable:
+    """A running exchange whose result says for certain why it was ended.
+
+    The HTTP library reports a cancelled request with the error of the phase that it was in.
+
+    :param call: the exchange.
+    """
+
+    def __init__(self, call: Deferred[HttpAnswer]) -> None:
+        self._call = call
+        self.result: Deferred[HttpAnswer] = Deferred(lambda _: self.end(CancelledError()))
+        call.addCallbacks(self._succeed, self._fail)
+
+    def _succeed(self, answer: HttpAnswer) -> None:
+        if not self.result.called:
+            self.result.callback(answer)
+
+    def _fail(self, failure: Failure) -> None:
+        if not self.result.called:
+            self.result.errback(failure)
+
+    def end(self, error: Exception) -> None:
+        """End the exchange with an error.
+
+        :param error: what the caller gets.
+        """
+        if not self.result.called:
+            self.result.errback(error)
+        self._call.cancel()
+
+
+class HttpTransport:
+    """Owns persistent connections; a context manager.
+
+    :param reactor: Twisted reactor.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        self._agent = Agent.usingEndpointFactory(reactor, _EndpointFactory(reactor), self._pool)
+        self._pending: set[_Cancellable] = set()
+        self._closed = False
+
+    async def __aenter__(self) -> HttpTransport:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def exchange(self, exchange: HttpExchange) -> HttpAnswer:
+        """Send a request and read the whole answer.
+
+        :param exchange: the request.
+        :raises ExchangeFailedError: when no whole answer came in time.
+        """
+        if self._closed:
+            raise ExchangeFailedError("the client is closed")
+        call = _Cancellable(Deferred.fromCoroutine(self._exchange(exchange)))
+        self._pending.add(call)
+        timer = self._reactor.callLater(exchange.deadline_ms / 1000, self._end_late, call, exchange)
+        try:
+            answer: HttpAnswer = await call.result
+            return answer
+        except _CONNECTION_ERRORS as error:
+            raise ExchangeFailedError(_describe(error)) from error
+        finally:
+            self._pending.discard(call)
+            if timer.active():
+                timer.cancel()
+
+    def _end_late(self, call: _Cancellable, exchange: HttpExchange) -> None:
+        # Idle connections to a silent peer are as dead as the one that got no answer, so the next
+        # call dials anew.
+        self._pool.closeCachedConnections()
+        call.end(ExchangeFailedError(f"no answer within {exchange.deadline_ms:.0f} ms"))
+
+    async def _exchange(self, exchange: HttpExchange) -> HttpAnswer:
+        path = quote(exchange.path)
+        query = urlencode(exchange.parameters)
+        uri = f"http://{exchange.address}{path}{'?' if query else ''}{query}"
+        producer = FileBodyProducer(io.BytesIO(exchange.body)) if exchange.body else None
+        response = await self._agent.request(
+            exchange.method.encode(), uri.encode(), Headers(), producer
+        )
+        index = response.headers.getRawHeaders(b"x-consul-index", [b""])[0]
+        body = await readBody(response)
+        return HttpAnswer(response.code, index.decode("ascii", "replace"), body)
+
+    def close(self) -> Deferred[None]:
+        """End calls in progress and close all connections."""
+        self._closed = True
+        for call in list(self._pending):
+            call.end(ExchangeFailedError("the client is closed"))
+        return self._pool.closeCachedConnections()
--- /dev/null
+++ b/packages/testing/src/bamboonotch_testing/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of a whole fleet on one machine."""
--- a/packages/testing/src/bamboonotch_testing/fleet/__init__.py
+++ b/packages/testing/src/bamboonotch_testing/fleet/__init__.py
@@ -11,6 +11,7 @@
     ServicePlan,
     make_uniform_layout,
 )
+from bamboonotch_testing.fleet._metrics import Sample, read_metrics, sum_by_label
 from bamboonotch_testing.fleet._process import ManagedProcess
 from bamboonotch_testing.fleet._wait import WaitTimeoutError, wait_until
 
@@ -24,10 +25,13 @@
     "ManagedProcess",
     "NodeHandle",
     "NodePlace",
+    "Sample",
     "ServicePlan",
     "WaitTimeoutError",
     "call_http",
     "call_json",
     "make_uniform_layout",
+    "read_metrics",
+    "sum_by_label",
     "wait_until",
 ]
--- a/packages/testing/src/bamboonotch_testing/fleet/_fleet.py
+++ b/packages/testing/src/bamboonotch_testing/fleet/_fleet.py
@@ -278,7 +278,7 @@
                 "bamboonotch_testing.backend_server",
                 "--listen",
                 addresses.backend,
-                "--announce-to",
+                "--announce",
                 addresses.admin,
                 "--service",
                 place.service,
--- /dev/null
+++ b/packages/testing/tests/store_server/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the store stand-in."""
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -26,7 +26,6 @@
     WitnessReply,
     WitnessWrite,
 )
-
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
 __all__ = ["MAX_FRAME_BYTES", "decode_message", "encode_message", "message_kind"]
