--- a/packages/cli/src/bamboonotch_cli/fleet.py
+++ b/packages/cli/src/bamboonotch_cli/fleet.py
@@ -107,11 +107,9 @@
     async def find_member(self, name: str) -> str:
         """Return the admin address of a node.
 
-        :param name: id of the node, or its admin address.
+        :param name: id of the node.
         :raises CommandError: when no member has the id, or no node answers.
         """
-        if ":" in name:
-            return name
         _, records = await self._read_first()
         for record in records:
             if record.node_id == name:
--- a/packages/cli/src/bamboonotch_cli/nodes.py
+++ b/packages/cli/src/bamboonotch_cli/nodes.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 
+from bamboonotch_cli.admin import AdminClient
 from bamboonotch_cli.results import FleetStatus, NodeAnswer
 from bamboonotch_cli.session import Session
 
@@ -36,7 +37,7 @@
     :param parameters: query parameters.
     """
     admin = await session.open_admin()
-    address = await _find_address(session, node)
+    address = await _find_address(session, admin, node)
     return NodeAnswer(address, await admin.get(address, f"/v1/explain/{subject}", parameters))
 
 
@@ -48,12 +49,12 @@
     :param node: id or admin address of the node.
     """
     admin = await session.open_admin()
-    address = await _find_address(session, node)
+    address = await _find_address(session, admin, node)
     return NodeAnswer(address, await admin.post(address, f"/v1/{command}"))
 
 
-async def _find_address(session: Session, node: str) -> str:
+async def _find_address(session: Session, admin: AdminClient, node: str) -> str:
     if ":" in node:
         return node
-    fleet = session.open_fleet(await session.open_admin())
+    fleet = session.open_fleet(admin)
     return await (fleet.find_member(node) if node else fleet.find_reachable())
--- a/packages/store/src/bamboonotch_store/_client.py
+++ b/packages/store/src/bamboonotch_store/_client.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import json
+import re
 import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -41,6 +42,7 @@
 # The API lets a blocking read take up to a sixteenth longer than asked.
 WAIT_TOLERANCE = 1 / 16
 MAX_SHOWN_BYTES = 200
+INDEX_PATTERN = re.compile(r"[0-9]{1,20}\Z")
 
 _Result = TypeVar("_Result")
 _Parameters = tuple[tuple[str, str], ...]
@@ -73,7 +75,7 @@
 
 
 def _parse_index(answer: HttpAnswer) -> int:
-    if not (answer.index.isascii() and answer.index.isdigit()):
+    if not INDEX_PATTERN.match(answer.index):
         raise StoreValueError(f"header X-Consul-Index is not a number: {answer.index!r}")
     return int(answer.index)
 
--- a/packages/store/src/bamboonotch_store/acceptance.py
+++ b/packages/store/src/bamboonotch_store/acceptance.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -28,8 +28,8 @@
     LogEntryError,
     PatchError,
     StoreError,
-    StoreUnavailableError,
 )
+from bamboonotch_core.settings import DistributionSettings
 from bamboonotch_store.errors import VersionAbsentError
 from bamboonotch_store.log import MAX_VERSION, VersionLog, VersionState, entry_key
 
@@ -46,8 +46,10 @@
     "SubmissionUnknown",
 ]
 
-SNAPSHOT_INTERVAL_VERSIONS = 16
+SNAPSHOT_INTERVAL_VERSIONS = DistributionSettings.snapshot_interval_versions
 WRITE_ATTEMPTS = 3
+# An operation that replaces a whole valid document has 6 levels.
+MAX_PATCH_DEPTH = 32
 RETRY_DELAY_MS = 200
 
 
@@ -140,10 +142,40 @@
     return RejectedInvalid((ConfigurationFault("", message),))
 
 
+def _check_same_patch(fate: Accepted | RejectedStale, submission: Submission) -> Outcome:
+    """Reject a patch id that was accepted with another patch, as that one is in force."""
+    if isinstance(fate, RejectedStale) or fate.entry.patch == submission.patch:
+        return fate
+    return _reject(
+        f"patch id {submission.patch_id} was accepted with another patch as version "
+        f"{fate.entry.version}; use a new patch id"
+    )
+
+
+def _exceeds_depth(patch: Patch) -> bool:
+    """Tell whether a patch is nested too deeply.
+
+    Deep nesting exhausts the stack at a depth that depends on the caller, so nodes could come to
+    different verdicts on one version.
+    """
+    level: list[Any] = list(patch)
+    for _ in range(MAX_PATCH_DEPTH):
+        children: list[Any] = []
+        for value in level:
+            if isinstance(value, Mapping):
+                children.extend(value.values())
+            elif isinstance(value, list):
+                children.extend(value)
+        level = children
+    return bool(level)
+
+
 def _prepare(
     base: VersionState, submission: Submission, now_unix_ms: int
 ) -> tuple[LogEntry, bytes] | RejectedInvalid:
     """Apply and validate a patch and encode the entry as every node will decode it."""
+    if _exceeds_depth(submission.patch):
+        return _reject(f"patch is nested more than {MAX_PATCH_DEPTH} levels deep")
     try:
         entry, _ = make_entry(
             base.version,
@@ -190,11 +222,11 @@
             return _reject(f"base version must be from 0 to {MAX_VERSION - 1}")
         fate = await self.read_fate(submission.patch_id, submission.base_version)
         if not isinstance(fate, NotAccepted):
-            return fate
+            return _check_same_patch(fate, submission)
         try:
             base = await self._log.load_version(submission.base_version)
         except VersionAbsentError:
-            newest = (await self._log.read_newest()).version
+            newest = await self._log.find_newest_version()
             message = f"base version {submission.base_version} does not exist; newest is {newest}"
             return _reject(message)
         prepared = _prepare(base, submission, self._read_unix_ms())
@@ -233,7 +265,8 @@
         return await self._log.write_state_snapshot(state, entry.result_digest)
 
     async def _write(self, submission: Submission, entry: LogEntry, data: bytes) -> Outcome:
-        reason = ""
+        """Write the entry; once it is sent, any answer that settles nothing leaves it unknown."""
+        reason = "the store gave no answer that settles it"
         for attempt in range(WRITE_ATTEMPTS):
             if attempt:
                 delay_s = RETRY_DELAY_MS * 2 ** (attempt - 1) / 1000
@@ -241,15 +274,15 @@
             try:
                 if await self._log.client.create_key(entry_key(entry.version), data):
                     return Accepted(entry)
-            except StoreUnavailableError as error:
+            except StoreError as error:
                 reason = str(error)
             try:
                 fate = await self.read_fate(submission.patch_id, submission.base_version)
-            except StoreUnavailableError as error:
+            except StoreError as error:
                 reason = str(error)
                 continue
             if not isinstance(fate, NotAccepted):
-                return fate
+                return _check_same_patch(fate, submission)
         return SubmissionUnknown(submission.patch_id, submission.base_version, reason)
 
     async def _describe_stale(self, winner: LogEntry) -> RejectedStale:
--- a/packages/store/src/bamboonotch_store/http.py
+++ b/packages/store/src/bamboonotch_store/http.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import io
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
 
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectionClosed, DNSLookupError, UserError
 from twisted.python.failure import Failure
@@ -15,7 +14,6 @@
 from twisted.web.client import (
     URI,
     Agent,
-    FileBodyProducer,
     HTTPConnectionPool,
     PartialDownloadError,
     ResponseFailed,
@@ -23,7 +21,7 @@
     readBody,
 )
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 from bamboonotch_core.errors import BamboonotchError
@@ -92,6 +90,32 @@
     return str(error) or type(error).__name__
 
 
+@implementer(IBodyProducer)
+class _BytesProducer:
+    """Writes a request body at once; the library's own producer needs the global reactor.
+
+    :param body: the body.
+    """
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
+        """Write the body."""
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing, as everything is written."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing, as everything is written."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing, as everything is written."""
+
+
 @implementer(IAgentEndpointFactory)
 class _EndpointFactory:
     """Dials IP addresses; the library's own endpoint reports a refused connection 300 ms late.
@@ -192,7 +216,7 @@
         path = quote(exchange.path)
         query = urlencode(exchange.parameters)
         uri = f"http://{exchange.address}{path}{'?' if query else ''}{query}"
-        producer = FileBodyProducer(io.BytesIO(exchange.body)) if exchange.body else None
+        producer = _BytesProducer(exchange.body) if exchange.body else None
         response = await self._agent.request(
             exchange.method.encode(), uri.encode(), Headers(), producer
         )
--- a/packages/store/src/bamboonotch_store/log.py
+++ b/packages/store/src/bamboonotch_store/log.py
@@ -132,7 +132,7 @@
 def _decode(version: int, data: bytes) -> LogEntry:
     try:
         entry = decode_entry(data)
-    except LogEntryError as error:
+    except (LogEntryError, RecursionError) as error:
         raise StoreValueError(f"{entry_key(version)}: {error}") from error
     if entry.version != version:
         raise StoreValueError(f"{entry_key(version)}: holds version {entry.version}")
@@ -142,7 +142,7 @@
 def _apply(state: VersionState, entry: LogEntry) -> VersionState:
     try:
         document, configuration = apply_entry(state.document, entry)
-    except (ConfigurationError, LogEntryError, PatchError) as error:
+    except (ConfigurationError, LogEntryError, PatchError, RecursionError) as error:
         raise StoreValueError(f"{entry_key(entry.version)}: {error}") from error
     return VersionState(entry.version, document, configuration)
 
@@ -150,7 +150,7 @@
 def _restore(version: int, data: bytes, digest: str) -> VersionState:
     try:
         document, configuration = decode_snapshot(data, digest)
-    except (ConfigurationError, LogEntryError) as error:
+    except (ConfigurationError, LogEntryError, RecursionError) as error:
         raise StoreValueError(f"snapshot of version {version}: {error}") from error
     return VersionState(version, document, configuration)
 
@@ -231,6 +231,18 @@
             entries.append(data)
         return NewestState(version, digest, snapshot, tuple(entries))
 
+    async def find_newest_version(self) -> int:
+        """Find the number of the newest version without reading the snapshot.
+
+        :raises StoreUnavailableError: when the store does not answer.
+        :raises StoreValueError: when ``snapshot/latest`` is malformed.
+        """
+        latest = await self._read_latest()
+        version = 0 if latest is None else latest.version
+        while await self.read_entry_data(version + 1) is not None:
+            version += 1
+        return version
+
     async def load_newest(self) -> VersionState:
         """Read the newest version and check it.
 
@@ -270,9 +282,8 @@
         :raises StoreUnavailableError: when the store does not answer.
         :raises StoreValueError: when an entry is malformed.
         """
-        newest = await self.read_newest()
-        oldest = max(1, newest.version - limit + 1)
-        entries = await self._read_entries(range(oldest, newest.version + 1))
+        newest = await self.find_newest_version()
+        entries = await self._read_entries(range(max(1, newest - limit + 1), newest + 1))
         return tuple(reversed(entries))
 
     async def write_snapshot(self, version: int, digest: str, data: bytes) -> bool:
--- a/packages/store/tests/test_acceptance.py
+++ b/packages/store/tests/test_acceptance.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 
 from bamboonotch_core.configuration import encode_entry, parse_patch
 from bamboonotch_core.errors import StoreUnavailableError, StoreValueError
@@ -86,6 +87,13 @@
         self.assertEqual(await self.acceptance.submit(make_submission("p")), first)
         self.assertEqual((await self.log.read_newest()).version, 2)
 
+    async def test_patch_id_used_for_another_patch(self) -> None:
+        """Guards against an edited patch reported as accepted under its old id."""
+        await self.acceptance.submit(make_submission("p"))
+        outcome = await self.acceptance.submit(make_submission("p", 0, "orders"))
+        assert isinstance(outcome, RejectedInvalid)
+        self.assertIn("new patch id", outcome.faults[0].message)
+
     async def test_stale_patch_gets_all_differences(self) -> None:
         """Guards against a stale rejection that hides what happened since the base."""
         self.accept(3)
@@ -104,6 +112,10 @@
             ([{"op": "add", "path": "/services/a", "value": bad_service}], 2),
             ([{"op": "add", "path": "/x", "value": "\ud800"}, {"op": "remove", "path": "/x"}], 1),
         )
+        deep: dict[str, object] = {}
+        for _ in range(300):
+            deep = {"a": deep}
+        patches += (([{"op": "test", "path": "/x", "value": deep}], 1),)
         for operations, count in patches:
             submission = Submission("p", 0, parse_patch(json.dumps(operations)), "a", "")
             outcome = await self.acceptance.submit(submission)
@@ -174,6 +186,47 @@
         self.server.change_faults(clear=True)
         self.assertIsInstance(await self.acceptance.read_fate("p", 0), Accepted)
 
+    async def test_malformed_answers_at_write_are_unknown(self) -> None:
+        """Guards against a definite verdict when an answer during the write is malformed."""
+        create_key = self.client.create_key
+
+        def create_and_garble(key: str, value: bytes) -> Deferred[bool]:
+            self.put(key, b"garbage")
+            return create_key(key, value).addCallback(self.raise_malformed)
+
+        self.patch(self.client, "create_key", create_and_garble)
+        outcome = await self.acceptance.submit(make_submission("p"))
+        self.assertIsInstance(outcome, SubmissionUnknown)
+
+    def raise_malformed(self, answer: bool) -> bool:
+        """Fail as the client does for a malformed answer."""
+        raise StoreValueError(f"answer {answer}")
+
+    async def test_racing_operators_with_lost_answers_lose_no_work(self) -> None:
+        """Guards against work lost, doubled or overwritten when answers are lost in a race."""
+        running = [Deferred.fromCoroutine(self.submit_until_accepted(n)) for n in range(RACERS)]
+        while not all(result.called for result in running):
+            self.drop_answers(1)
+            await deferLater(reactor, 0.02)
+        versions = sorted([await result for result in running])
+        self.assertEqual(versions, list(range(1, RACERS + 1)))
+        state = await self.log.load_newest()
+        self.assertEqual(state.version, RACERS)
+        self.assertEqual(set(state.document["services"]), {f"s{n}" for n in range(RACERS)})
+
+    async def submit_until_accepted(self, number: int) -> int:
+        """Submit one operator's work on each newest version until it is accepted."""
+        log = VersionLog(self.make_client())
+        acceptance = PatchAcceptance(log, reactor, lambda: 1)
+        while True:
+            base = await log.find_newest_version()
+            submission = make_submission(f"p{number}-{base}", base, f"s{number}")
+            outcome = await acceptance.submit(submission)
+            while isinstance(outcome, SubmissionUnknown):
+                outcome = await acceptance.submit(submission)
+            if isinstance(outcome, Accepted):
+                return outcome.entry.version
+
     async def test_fates(self) -> None:
         """Guards against a fate that differs from what the one key says."""
         self.assertEqual(await self.acceptance.read_fate("p", 0), NotAccepted("p", 0))
--- a/packages/store/tests/test_slots.py
+++ b/packages/store/tests/test_slots.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import os
+import signal
+import subprocess
+import sys
 import time
+from pathlib import Path
 from random import Random
 
-from twisted.internet import reactor
+from twisted.internet import reactor, threads
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
@@ -14,6 +19,7 @@
 from bamboonotch_store.slots import SlotKeeper, list_slot_holders
 from tests.support import LEASE_MS, StoreTestCase
 
+PACKAGE = Path(__file__).resolve().parent.parent
 NODES = 5
 SLOTS = 3
 
@@ -128,6 +134,22 @@
         node.offset_ms += LEASE_MS
         return answer
 
+    async def test_stopped_process_finds_its_slot_lost(self) -> None:
+        """Guards against a suspended process that goes on as holder when it runs again."""
+        command = [sys.executable, "-m", "tests.keeper_process", self.settings.address]
+        process = subprocess.Popen(command, cwd=PACKAGE, stdout=subprocess.PIPE, text=True)
+        self.addCleanup(process.communicate)
+        self.addCleanup(process.kill)
+        lines: list[str] = []
+        threads.deferToThread(lambda: lines.extend(iter(process.stdout.readline, "")))
+        await self.wait_for(lambda: lines)
+        os.kill(process.pid, signal.SIGSTOP)
+        await self.wait_for(lambda: not self.keys())
+        os.kill(process.pid, signal.SIGCONT)
+        await self.wait_for(lambda: len(lines) >= 3)
+        self.assertEqual([line.split()[0] for line in lines[:3]], ["obtained", "lost", "obtained"])
+        self.assertEqual(lines[1].split()[1], "None")
+
     async def test_malformed_slots_are_named_and_left_out(self) -> None:
         """Guards against one malformed slot that hides all others from newcomers."""
         session = await self.client.create_session(LEASE_MS)
--- a/packages/testing/src/bamboonotch_testing/store_server/_data.py
+++ b/packages/testing/src/bamboonotch_testing/store_server/_data.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import uuid
+from bisect import bisect_left, insort
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from itertools import islice, takewhile
 from typing import Any
 
 __all__ = ["Entry", "InvalidSessionError", "Selection", "StoreData"]
@@ -68,6 +70,7 @@
     def __init__(self, clock: Any) -> None:
         self._clock = clock
         self._entries: dict[str, Entry] = {}
+        self._keys: list[str] = []
         self._tombstones: dict[str, int] = {}
         self._sessions: dict[str, _Session] = {}
         self._listeners: dict[int, tuple[Selection, Callable[[], None]]] = {}
@@ -82,7 +85,9 @@
         if not selection.recurse:
             entry = self._entries.get(selection.key)
             return {} if entry is None else {selection.key: entry}
-        return {key: self._entries[key] for key in sorted(self._entries) if selection.matches(key)}
+        start = bisect_left(self._keys, selection.key)
+        keys = takewhile(selection.matches, islice(self._keys, start, None))
+        return {key: self._entries[key] for key in keys}
 
     def last_change(self, selection: Selection) -> int:
         """Return the index of the last write to the selected keys, 0 when there was none.
@@ -105,7 +110,11 @@
         number = self._next_listener
         self._next_listener += 1
         self._listeners[number] = (selection, notify)
-        return lambda: self._listeners.pop(number, None) and None
+
+        def stop() -> None:
+            self._listeners.pop(number, None)
+
+        return stop
 
     def _notify(self, key: str) -> None:
         for selection, notify in list(self._listeners.values()):
@@ -114,6 +123,8 @@
 
     def _store(self, key: str, value: bytes, **changes: Any) -> None:
         self.index += 1
+        if key not in self._entries:
+            insort(self._keys, key)
         old = self._entries.get(key) or Entry(b"", self.index, self.index)
         self._entries[key] = replace(old, value=value, modify_index=self.index, **changes)
         self._tombstones.pop(key, None)
@@ -122,6 +133,7 @@
     def _remove(self, key: str) -> None:
         self.index += 1
         del self._entries[key]
+        del self._keys[bisect_left(self._keys, key)]
         self._tombstones[key] = self.index
         if len(self._tombstones) > MAX_TOMBSTONES:
             del self._tombstones[next(iter(self._tombstones))]
--- a/packages/testing/src/bamboonotch_testing/store_server/_server.py
+++ b/packages/testing/src/bamboonotch_testing/store_server/_server.py
@@ -10,7 +10,7 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
@@ -204,8 +204,9 @@
         :param port: port, 0 for a free one.
         """
         site = Site(_Root(self))
+        # Nothing reads the access log, and it costs time on every call.
+        site.log = lambda request: None
         self._port = self.reactor.listenTCP(port, site, interface=host)
-        self._site = site
         return self.address
 
     @property
@@ -222,12 +223,9 @@
         self.held.clear()
         self.data.close()
         port, self._port = self._port, None
-        done: Deferred[None] = Deferred()
         if port is None:
-            done.callback(None)
-            return done
-        port.stopListening().addBoth(lambda _: done.callback(None))
-        return done
+            return succeed(None)
+        return maybeDeferred(port.stopListening)
 
     def change_faults(self, **changes: Any) -> None:
         """Set faults; the fields are those of :class:`Faults`, and ``clear`` sets all back.
@@ -312,7 +310,8 @@
         :param selection: which keys it reads.
         """
         entries = self.data.select(selection)
-        index = self.data.last_change(selection) if entries else self.data.index
+        single = entries and not selection.recurse
+        index = self.data.last_change(selection) if single else self.data.index
         call.request.setHeader(b"x-consul-index", str(index).encode())
         if not entries:
             call.answer(b"", 404)
