Refuse deeply nested patches and documents by a typed error

Cause: JSON Patch and the JSON encoder recurse, so a document of 300 to 600 levels raised RecursionError on some stacks and passed on others; a node could have refused a version that the command accepted. The depth limit of acceptance moves to the configuration package, where every decoder applies it. The acceptance test now builds its deep patch without parse_patch, which refuses it earlier.

--- a/packages/core/src/bamboonotch_core/configuration/_log.py
+++ b/packages/core/src/bamboonotch_core/configuration/_log.py
@@ -14,7 +14,12 @@
     canonical_json,
     digest_document,
 )
-from bamboonotch_core.configuration._patch import Patch, apply_patch, check_operations
+from bamboonotch_core.configuration._patch import (
+    Patch,
+    apply_patch,
+    check_operations,
+    exceeds_depth,
+)
 from bamboonotch_core.configuration._validation import parse_configuration
 from bamboonotch_core.errors import LogEntryError, PatchError
 
@@ -30,6 +35,8 @@
 
 MAX_ENTRY_BYTES = 1024 * 1024
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+# A valid document has four levels; a patch may add up to its own depth below any of them.
+MAX_DOCUMENT_DEPTH = 64
 COMPRESSION_LEVEL = 9
 _TEXT_FIELDS = ("patch_id", "author", "comment", "result_digest")
 _INTEGER_FIELDS = ("version", "base_version", "accepted_at_unix_ms")
@@ -81,6 +88,7 @@
     :raises PatchError: when the patch does not apply or the result is too large.
     :raises ConfigurationError: when the resulting document has faults.
     """
+    check_operations(list(patch))
     document = apply_patch(base_document, patch)
     parse_configuration(document)
     if len(canonical_json(document)) > MAX_DOCUMENT_BYTES:
@@ -131,6 +139,8 @@
         raise LogEntryError(f"not JSON: {error}") from error
     if not isinstance(value, dict):
         raise LogEntryError("not a JSON object")
+    if exceeds_depth(value, MAX_DOCUMENT_DEPTH):
+        raise LogEntryError(f"nested more than {MAX_DOCUMENT_DEPTH} levels deep")
     return value
 
 
--- a/packages/core/src/bamboonotch_core/configuration/_patch.py
+++ b/packages/core/src/bamboonotch_core/configuration/_patch.py
@@ -12,16 +12,45 @@
 from bamboonotch_core.configuration._document import Document
 from bamboonotch_core.errors import PatchError
 
-__all__ = ["MAX_PATCH_BYTES", "Patch", "apply_patch", "parse_patch"]
+__all__ = [
+    "MAX_PATCH_BYTES",
+    "MAX_PATCH_DEPTH",
+    "Patch",
+    "apply_patch",
+    "check_operations",
+    "exceeds_depth",
+    "parse_patch",
+]
 
 MAX_PATCH_BYTES = 256 * 1024
 MAX_OPERATIONS = 10_000
+# Deep nesting exhausts the stack at a depth that depends on the caller, so nodes could otherwise
+# come to different verdicts on one version.
+MAX_PATCH_DEPTH = 32
 OPERATIONS = frozenset({"add", "copy", "move", "remove", "replace", "test"})
 
 Patch = tuple[Mapping[str, Any], ...]
 """The operations of a patch, as parsed JSON."""
 
 
+def exceeds_depth(value: Any, limit: int) -> bool:
+    """Tell whether parsed JSON is nested more than a number of levels deep.
+
+    :param value: the parsed JSON.
+    :param limit: levels of arrays and objects that are allowed.
+    """
+    level: list[Any] = [value]
+    for _ in range(limit + 1):
+        children: list[Any] = []
+        for item in level:
+            if isinstance(item, Mapping):
+                children.extend(item.values())
+            elif isinstance(item, list | tuple):
+                children.extend(item)
+        level = children
+    return bool(level)
+
+
 def _check_operation(index: int, operation: Any) -> None:
     if not isinstance(operation, dict):
         raise PatchError(f"operation {index} must be an object")
@@ -55,6 +84,8 @@
     """
     if not isinstance(operations, list) or not operations:
         raise PatchError("patch must be a list of one or more operations")
+    if exceeds_depth(operations, MAX_PATCH_DEPTH):
+        raise PatchError(f"patch is nested more than {MAX_PATCH_DEPTH} levels deep")
     if len(operations) > MAX_OPERATIONS:
         raise PatchError(f"patch has more than {MAX_OPERATIONS} operations")
     for index, operation in enumerate(operations):
--- a/packages/core/tests/configuration/test_log.py
+++ b/packages/core/tests/configuration/test_log.py
@@ -101,6 +101,20 @@
                     0, EMPTY_DOCUMENT, patch, patch_id="p", author="a", comment="", now_unix_ms=5
                 )
 
+    def test_deep_nesting_is_refused_by_a_typed_error(self) -> None:
+        """Guards against nodes that differ on a version because their stacks differ (P3)."""
+        value: object = 1
+        for _ in range(400):
+            value = {"a": value}
+        patch = ({"op": "add", "path": "/services/menu", "value": value},)
+        with self.assertRaises(PatchError):
+            make_entry(
+                0, EMPTY_DOCUMENT, patch, patch_id="p", author="a", comment="", now_unix_ms=5
+            )
+        text = b'{"a":' * 400 + b"1" + b"}" * 400
+        with self.assertRaises(LogEntryError):
+            decode_snapshot(zlib.compress(text), "0" * 64)
+
 
 class SnapshotTest(unittest.TestCase):
     """Encoding of snapshots."""
--- a/packages/store/src/bamboonotch_store/acceptance.py
+++ b/packages/store/src/bamboonotch_store/acceptance.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -48,8 +48,6 @@
 
 SNAPSHOT_INTERVAL_VERSIONS = DistributionSettings.snapshot_interval_versions
 WRITE_ATTEMPTS = 3
-# An operation that replaces a whole valid document has 6 levels.
-MAX_PATCH_DEPTH = 32
 RETRY_DELAY_MS = 200
 
 
@@ -152,30 +150,10 @@
     )
 
 
-def _exceeds_depth(patch: Patch) -> bool:
-    """Tell whether a patch is nested too deeply.
-
-    Deep nesting exhausts the stack at a depth that depends on the caller, so nodes could come to
-    different verdicts on one version.
-    """
-    level: list[Any] = list(patch)
-    for _ in range(MAX_PATCH_DEPTH):
-        children: list[Any] = []
-        for value in level:
-            if isinstance(value, Mapping):
-                children.extend(value.values())
-            elif isinstance(value, list):
-                children.extend(value)
-        level = children
-    return bool(level)
-
-
 def _prepare(
     base: VersionState, submission: Submission, now_unix_ms: int
 ) -> tuple[LogEntry, bytes] | RejectedInvalid:
     """Apply and validate a patch and encode the entry as every node will decode it."""
-    if _exceeds_depth(submission.patch):
-        return _reject(f"patch is nested more than {MAX_PATCH_DEPTH} levels deep")
     try:
         entry, _ = make_entry(
             base.version,
--- a/packages/store/tests/test_acceptance.py
+++ b/packages/store/tests/test_acceptance.py
@@ -117,7 +117,7 @@
             deep = {"a": deep}
         patches += (([{"op": "test", "path": "/x", "value": deep}], 1),)
         for operations, count in patches:
-            submission = Submission("p", 0, parse_patch(json.dumps(operations)), "a", "")
+            submission = Submission("p", 0, tuple(json.loads(json.dumps(operations))), "a", "")
             outcome = await self.acceptance.submit(submission)
             assert isinstance(outcome, RejectedInvalid), outcome
             self.assertEqual(len(outcome.faults), count)
