Pause an owner whose backend server refuses everything

Cause: a backend server that leaves refuses for as long as its announcement takes, and each refusal by the backend server needs a retry token, so callers got not-run although another backend server was free.

--- a/packages/core/src/bamboonotch_core/admission/_capacity.py
+++ b/packages/core/src/bamboonotch_core/admission/_capacity.py
@@ -30,6 +30,8 @@
     :param configuration: the running configuration.
     :param now_ms: monotonic clock, in milliseconds.
     """
+    if now_ms < state.paused_until_ms:
+        return 0
     slots = hard_slots(state, configuration)
     if slots <= 1:
         return slots
--- a/packages/core/src/bamboonotch_core/admission/_offers.py
+++ b/packages/core/src/bamboonotch_core/admission/_offers.py
@@ -51,6 +51,8 @@
         return RefusalReason.DRAINING
     if hard_slots(state, configuration) < 1:
         return RefusalReason.NOT_READY
+    if event.now_ms < state.paused_until_ms:
+        return RefusalReason.BACKEND_REFUSING
     if event.now_ms >= event.deadline_ms:
         return RefusalReason.DEADLINE
     return ""
--- a/packages/core/src/bamboonotch_core/admission/_results.py
+++ b/packages/core/src/bamboonotch_core/admission/_results.py
@@ -23,6 +23,10 @@
 
 __all__ = ["CLAIM_RESERVE_MS", "finish_claim", "finish_work"]
 
+# A backend server that leaves or sheds everything refuses for as long as its announcement takes.
+# Refusals by the node itself cost no retry token, because no backend server saw the request.
+REFUSALS_BEFORE_PAUSE = 2
+PAUSE_MS = 250.0
 CLAIM_RESERVE_MS = 50.0  # the store answers in milliseconds; a slower one must not hold slots
 
 Step = Transition[AdmissionState]
@@ -94,6 +98,7 @@
     fence_state = FenceState.NOT_RUN if not_run else FenceState.FINISHED
     state = remove_live(state, attempt, fence_state, event.now_ms)
     state = replace_fields(state, limit=limit)
+    state = _note_backend(state, event)
     refusals: tuple[Effect, ...] = ()
     if event.result is not BackendResult.DONE:
         reason = RefusalReason.BACKEND_NOT_RUN if not_run else RefusalReason.BACKEND_LOST
@@ -102,6 +107,17 @@
     return Transition(filled.state, refusals + filled.effects + reports)
 
 
+def _note_backend(state: AdmissionState, event: BackendFinished) -> AdmissionState:
+    """Count refusals by the backend server in a row, and pause when there are several."""
+    if event.result is not BackendResult.NOT_RUN:
+        return replace_fields(state, backend_refusals=0) if state.backend_refusals else state
+    refusals = state.backend_refusals + 1
+    if refusals < REFUSALS_BEFORE_PAUSE:
+        return replace_fields(state, backend_refusals=refusals)
+    paused_until_ms = event.now_ms + PAUSE_MS
+    return replace_fields(state, backend_refusals=refusals, paused_until_ms=paused_until_ms)
+
+
 def _measure(
     state: AdmissionState,
     attempt: LiveAttempt,
--- a/packages/core/src/bamboonotch_core/admission/_state.py
+++ b/packages/core/src/bamboonotch_core/admission/_state.py
@@ -97,6 +97,8 @@
     :param shutting_down: whether the process was asked to end.
     :param idle_reported: whether the end of the drain was reported.
     :param slots_held: slots taken or reserved.
+    :param backend_refusals: refusals by the backend server since its last answer.
+    :param paused_until_ms: no work is started before this time, because the backend server refuses.
     :param claims_pending: claims that the store has not answered.
     :param claims_slow: whether the last claim took too long to keep a slot for.
     :param queued: attempts in all queues.
@@ -116,6 +118,8 @@
     shutting_down: bool = False
     idle_reported: bool = False
     slots_held: int = 0
+    backend_refusals: int = 0
+    paused_until_ms: float = -math.inf
     claims_pending: int = 0
     claims_slow: bool = False
     queued: int = 0
--- a/packages/core/src/bamboonotch_core/outcomes/_reasons.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reasons.py
@@ -10,6 +10,7 @@
 
     BACKEND_NOT_RUN = "backend-not-run"
     BACKEND_LOST = "backend-lost"
+    BACKEND_REFUSING = "backend-refusing"
     CANCELLED = "cancelled"
     CLAIM_TAKEN = "claim-taken"
     CLAIM_UNAVAILABLE = "claim-unavailable"
--- a/packages/core/src/bamboonotch_core/outcomes/_reducer.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reducer.py
@@ -62,6 +62,7 @@
 BUSY_REASONS = frozenset(
     {
         RefusalReason.BACKEND_NOT_RUN,
+        RefusalReason.BACKEND_REFUSING,
         RefusalReason.EVICTED,
         RefusalReason.QUEUE_FULL,
         RefusalReason.QUEUE_TIMEOUT,
