Choose lasting witnesses, and test fleets under failures

One store watch now lasts 2.5 s, not 30, because a watch on a silent connection ends only with its wait, and the target is 5 s.

--- a/packages/core/src/bamboonotch_core/_membership_view.py
+++ b/packages/core/src/bamboonotch_core/_membership_view.py
@@ -4,13 +4,17 @@
 
 from dataclasses import replace
 
+from bamboonotch_core import membership
 from bamboonotch_core.distribution import MembershipView, Neighbour
 from bamboonotch_core.member_record import MemberState
 from bamboonotch_core.membership import (
     MembershipState,
     is_lowest_slot,
+    is_region_usable,
     is_store_reader,
     neighbours,
+    overlay_neighbours,
+    own_record,
 )
 
 __all__ = ["refresh_view"]
@@ -29,9 +33,10 @@
     """
     if after is before:
         return view
-    if after.directory is not before.directory or not view.live_node_ids:
+    cuts_changed = after.detection.cuts is not before.detection.cuts
+    if after.directory is not before.directory or cuts_changed or not view.live_node_ids:
         view = _with_members(view, after)
-    if after.overlay.links is not before.overlay.links:
+    if after.overlay is not before.overlay:
         open_links = _open_links(after)
         if open_links != view.neighbours:
             view = replace(view, neighbours=open_links)
@@ -42,16 +47,41 @@
 
 
 def _with_members(view: MembershipView, state: MembershipState) -> MembershipView:
+    """Take over the live members; those of a region that is cut off cannot be waited for."""
     addresses = {
         node_id: record.peer_address
         for node_id, record in state.directory.records.items()
-        if record.state is not MemberState.DEAD
+        if record.state is not MemberState.DEAD and is_region_usable(state, record.region)
     }
     return replace(view, live_node_ids=frozenset(addresses), peer_addresses=addresses)
 
 
 def _open_links(state: MembershipState) -> tuple[Neighbour, ...]:
+    links = neighbours(state)
+    lasting = _lasting_peers(state, links)
     return tuple(
-        Neighbour(link.link_id, link.node_id, link.incarnation, link.region, link.data_centre)
-        for link in neighbours(state)
+        Neighbour(
+            link.link_id,
+            link.node_id,
+            link.incarnation,
+            link.region,
+            link.data_centre,
+            link.node_id in lasting,
+        )
+        for link in links
     )
+
+
+def _lasting_peers(
+    state: MembershipState, links: tuple[membership.Neighbour, ...]
+) -> frozenset[str]:
+    """Return the peers that may become witnesses.
+
+    Those of other regions may only if there is no other, because a cut between regions would
+    otherwise keep a gateway from its witnesses.
+    """
+    wanted = overlay_neighbours(state)
+    lasting = [link for link in links if link.node_id in wanted]
+    region = own_record(state).region
+    near = [link for link in lasting if link.region == region]
+    return frozenset(link.node_id for link in near or lasting)
--- a/packages/core/src/bamboonotch_core/distribution/_running.py
+++ b/packages/core/src/bamboonotch_core/distribution/_running.py
@@ -19,6 +19,7 @@
     forget_acknowledgements,
     needs_write,
     next_record,
+    raise_incarnation,
     waiting_for,
 )
 from bamboonotch_core.distribution._witness_storage import record_fault
@@ -36,6 +37,7 @@
 
     :param step: the step.
     """
+    _follow_incarnation(step)
     _forget_restarted_witnesses(step)
     _reconcile_witnesses(step)
     while _run_next(step):
@@ -44,19 +46,27 @@
     _report_wait(step)
 
 
+def _follow_incarnation(step: Step) -> None:
+    register = raise_incarnation(step.state.register, step.view.own_incarnation)
+    if register is not step.state.register:
+        step.update(register=register)
+
+
 def _forget_restarted_witnesses(step: Step) -> None:
     """Drop acknowledgements of witnesses that came back as another process."""
     register = step.state.register
     links = step.state.witness_links
     names = {*register.witnesses, *register.former}
     incarnations = {name: value for name, value in links.incarnations.items() if name in names}
+    sent = links.sent
     for name in names.intersection(step.nodes):
         incarnation = step.nodes[name].incarnation
         if incarnations.get(name, incarnation) != incarnation:
             register = forget_acknowledgements(register, name)
+            sent = sent.delete(name) if name in sent else sent
         incarnations[name] = incarnation
     if incarnations != dict(links.incarnations):
-        links = replace(links, incarnations=Map(incarnations))
+        links = replace(links, incarnations=Map(incarnations), sent=sent)
         step.update(register=register, witness_links=links)
 
 
@@ -71,8 +81,10 @@
     unlinked: dict[str, float] = {}
     kept = []
     for name in state.register.witnesses:
-        if name in step.nodes:
-            kept.append(name)
+        neighbour = step.nodes.get(name)
+        if neighbour is not None:
+            if neighbour.is_lasting:
+                kept.append(name)
             continue
         since_ms = state.witness_links.unlinked_ms.get(name, step.now_ms)
         if name in step.view.live_node_ids and step.now_ms - since_ms < grace_ms:
@@ -81,7 +93,9 @@
     if unlinked != dict(state.witness_links.unlinked_ms):
         step.update(witness_links=replace(state.witness_links, unlinked_ms=Map(unlinked)))
     own = state.settings.identity
-    others = [item for item in step.nodes.values() if item.node_id != own.node_id]
+    others = [
+        item for item in step.nodes.values() if item.is_lasting and item.node_id != own.node_id
+    ]
     count = state.settings.distribution.witness_count
     return choose_witnesses(kept, others, own.region, count)
 
--- a/packages/core/src/bamboonotch_core/distribution/_view.py
+++ b/packages/core/src/bamboonotch_core/distribution/_view.py
@@ -19,6 +19,8 @@
     :param incarnation: the peer's incarnation, as it named itself on this stream.
     :param region: the peer's region.
     :param data_centre: the peer's data centre.
+    :param is_lasting: whether the overlay wants the stream; any other one ends soon, and its peer
+        must not become a witness, or each end of such a stream would change the witness set.
     """
 
     link_id: str
@@ -26,6 +28,7 @@
     incarnation: int
     region: str
     data_centre: str
+    is_lasting: bool = True
 
 
 @dataclass(frozen=True)
@@ -38,6 +41,8 @@
     :param is_lowest_slot: whether this node holds the lowest relay slot of the store's region.
     :param peer_addresses: ``ip:port`` of live members by node id, to reach a witness that is no
         longer a neighbour; may be empty.
+    :param own_incarnation: this node's incarnation in its member record; membership raises it when
+        it finds a higher one, and witnesses refuse records of lower ones. 0 when it is not known.
     """
 
     neighbours: tuple[Neighbour, ...] = ()
@@ -45,3 +50,4 @@
     is_store_reader: bool = False
     is_lowest_slot: bool = False
     peer_addresses: Mapping[str, str] = Map()
+    own_incarnation: int = 0
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -147,7 +147,10 @@
 def _(event: ShutdownRequested, state: NodeState) -> NodeTransition:
     if state.shutdown_deadline_ms is not None:
         return Transition(state)
-    transition = _reduce_all(event, state)
+    # Outcomes are told later: work in flight at the backend server may call other services.
+    control = _reduce_control(event, state)
+    owner = _reduce_owner(event, control.state)
+    transition = Transition(owner.state, control.effects + owner.effects)
     limit_ms = state.membership.settings.requests.shutdown_ms
     state = replace(
         transition.state,
@@ -160,6 +163,9 @@
 @_reduce_event.register
 def _(event: Tick, state: NodeState) -> NodeTransition:
     transition = _reduce_all(event, state)
+    if _must_refuse_callers(transition.state, event.now_ms):
+        refusing = _reduce_ingress(ShutdownRequested(event.now_ms), transition.state)
+        transition = Transition(refusing.state, transition.effects + refusing.effects)
     state = transition.state
     if state.stop_ms is not None:
         stop = (StopProcess(),) if event.now_ms >= state.stop_ms else ()
@@ -171,6 +177,13 @@
     return Transition(state, transition.effects + leaving.effects)
 
 
+def _must_refuse_callers(state: NodeState, now_ms: float) -> bool:
+    """Tell whether a process that shuts down must take no more requests."""
+    if state.shutdown_deadline_ms is None or state.outcomes.shutting_down:
+        return False
+    return is_idle(state.admission) and now_ms >= state.shutdown_idle_after_ms
+
+
 def _may_leave(state: NodeState, now_ms: float) -> bool:
     """Tell whether a process that shuts down has no work left, or no time."""
     if state.shutdown_deadline_ms is None:
--- a/packages/core/src/bamboonotch_core/settings.py
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -70,7 +70,7 @@
     address: str
     region: str
     timeout_ms: int = 1000
-    watch_ms: int = 30_000
+    watch_ms: int = 2500
     lease_ms: int = 10_000
     slots_per_data_centre: int = 3
 
--- a/packages/testing/src/bamboonotch_testing/fleet/_addresses.py
+++ b/packages/testing/src/bamboonotch_testing/fleet/_addresses.py
@@ -10,13 +10,12 @@
 import socket
 from dataclasses import dataclass
 
-__all__ = ["FleetAddresses"]
+__all__ = ["FleetAddresses", "NodeAddresses"]
 
 PEER_PORT = 7100
 HTTP_PORT = 7101
 ADMIN_PORT = 7102
 BACKEND_PORT = 7103
-PEER_PROXY_PORT = 7110
 STORE_PORT = 7200
 STORE_PROXY_PORT = 7201
 PROXY_CONTROL_PORT = 7300
@@ -53,11 +52,6 @@
         """Where the node takes streams."""
         return f"{self.ip}:{PEER_PORT}"
 
-    @property
-    def peer_proxy(self) -> str:
-        """Where a proxy before the peer port listens."""
-        return f"{self.ip}:{PEER_PROXY_PORT}"
-
     def region_proxy(self, region_index: int) -> str:
         """Return where the proxy for callers of one region listens.
 
@@ -96,17 +90,17 @@
         """Where the store listens."""
         return f"127.{self._octet}.0.1:{STORE_PORT}"
 
-    @property
-    def store_proxy(self) -> str:
-        """Where the proxy before the store listens."""
-        return f"127.{self._octet}.0.1:{STORE_PROXY_PORT}"
-
-    def proxy_control(self, index: int) -> str:
-        """Return where a fault proxy takes commands.
+    def store_proxy(self, region_index: int) -> str:
+        """Return where the proxy before the store listens for one region.
 
-        :param index: number of the proxy process, from 0.
+        :param region_index: number of the region, from 0.
         """
-        return f"127.{self._octet}.0.1:{PROXY_CONTROL_PORT + index}"
+        return f"127.{self._octet}.0.1:{STORE_PROXY_PORT + region_index}"
+
+    @property
+    def proxy_control(self) -> str:
+        """Where the group of fault proxies takes commands."""
+        return f"127.{self._octet}.0.1:{PROXY_CONTROL_PORT}"
 
     def node(self, index: int) -> NodeAddresses:
         """Return the addresses of one node.
--- a/packages/testing/src/bamboonotch_testing/fleet/_fleet.py
+++ b/packages/testing/src/bamboonotch_testing/fleet/_fleet.py
@@ -19,6 +19,7 @@
 from bamboonotch_testing.fleet._process import ManagedProcess
 from bamboonotch_testing.fleet._settings_file import SettingsSections, write_settings_file
 from bamboonotch_testing.fleet._wait import wait_until
+from bamboonotch_testing.proxy_group import ProxyPlan
 
 __all__ = ["Fleet", "NodeHandle"]
 
@@ -91,7 +92,8 @@
 
     def runs(self) -> list[dict[str, Any]]:
         """Return what the backend server ran."""
-        runs: list[dict[str, Any]] = call_json(self.addresses.backend, "GET", "/control/runs")
+        record = call_json(self.addresses.backend, "GET", "/control/runs")
+        runs: list[dict[str, Any]] = record["runs"]
         return runs
 
 
@@ -100,10 +102,19 @@
 
     :param layout: data centres, services and the first configuration.
     :param settings: extra settings of every node, by section and key.
+    :param proxied: whether every connection to a node's peer port and to the store passes through
+        a fault proxy for the region that it comes from.
     """
 
-    def __init__(self, layout: Layout, settings: SettingsSections | None = None) -> None:
+    def __init__(
+        self,
+        layout: Layout,
+        settings: SettingsSections | None = None,
+        *,
+        proxied: bool = False,
+    ) -> None:
         self.layout = layout
+        self._proxied = proxied
         self._settings = settings or {}
         self._stack = contextlib.ExitStack()
         self._addresses = FleetAddresses()
@@ -115,13 +126,16 @@
             ["-m", "bamboonotch_testing.store_server", "--listen", self._addresses.store],
             self.directory,
         )
+        self._places = layout.places()
         self.nodes = tuple(
-            self._make_handle(index, place) for index, place in enumerate(layout.places())
+            self._make_handle(index, place) for index, place in enumerate(self._places)
         )
 
     def __enter__(self) -> Fleet:
         self._start_process(self.store)
         wait_until("store answers", self._store_answers, START_TIMEOUT_S)
+        if self._proxied:
+            self._start_proxies()
         return self
 
     def __exit__(
@@ -137,6 +151,35 @@
         """Where the store listens."""
         return self._addresses.store
 
+    def inject(self, fault: str, **labels: str | float) -> None:
+        """Inject a fault into chosen proxies, see :mod:`bamboonotch_testing.proxy_group`.
+
+        :param fault: the fault.
+        :param labels: labels of the proxies, and ``delay_ms``.
+        """
+        call_json(self._addresses.proxy_control, "POST", "/", {"fault": fault, **labels})
+
+    def partition_regions(self, first: str, second: str) -> None:
+        """Cut all connections between two regions, with the store in its own region.
+
+        :param first: a region.
+        :param second: another region.
+        """
+        self.inject("partition", source=first, target_region=second)
+        self.inject("partition", source=second, target_region=first)
+
+    def proxied_bytes(self) -> list[dict[str, Any]]:
+        """Return the labels and counters of every proxy."""
+        counters: list[dict[str, Any]] = call_json(self._addresses.proxy_control, "GET", "/")
+        return counters
+
+    def set_store_fault(self, **changes: str | int | bool) -> None:
+        """Change the store's faults, see :mod:`bamboonotch_testing.store_server`.
+
+        :param changes: fields to change.
+        """
+        call_json(self.store_address, "POST", "/control/fault", changes)
+
     def start(self, nodes: Sequence[NodeHandle] | None = None) -> None:
         """Start nodes and their backend servers.
 
@@ -304,9 +347,44 @@
             },
             "store": {"address": self.store_address, "region": self.layout.store_region},
         }
+        if self._proxied:
+            region = self.layout.regions.index(place.data_centre.region)
+            own["store"]["address"] = self._addresses.store_proxy(region)
+            own["address_translation"] = {
+                self._addresses.node(index).peer: self._addresses.node(index).region_proxy(region)
+                for index in range(len(self._places))
+            }
         for section in {**own, **self._settings}:
             yield section, {**own.get(section, {}), **self._settings.get(section, {})}
 
+    def _start_proxies(self) -> None:
+        specification = self.directory / "proxies.json"
+        specification.write_text(json.dumps([vars(plan) for plan in self._proxy_plans()]))
+        control = self._addresses.proxy_control
+        module = "bamboonotch_testing.proxy_group"
+        arguments = ["-m", module, "--specification", str(specification), "--control", control]
+        self._start_process(ManagedProcess("proxies", arguments, self.directory))
+        wait_until("proxies answer", self._proxies_answer, START_TIMEOUT_S)
+
+    def _proxy_plans(self) -> Iterator[ProxyPlan]:
+        for number, region in enumerate(self.layout.regions):
+            store = self._addresses.store_proxy(number)
+            yield ProxyPlan(region, "store", self.layout.store_region, store, self.store_address)
+            for index, place in enumerate(self._places):
+                node = self._addresses.node(index)
+                yield ProxyPlan(
+                    region,
+                    place.node_id,
+                    place.data_centre.region,
+                    node.region_proxy(number),
+                    node.peer,
+                )
+
+    def _proxies_answer(self) -> bool:
+        with contextlib.suppress(OSError):
+            return bool(self.proxied_bytes())
+        return False
+
     def _start_process(self, process: ManagedProcess) -> None:
         process.start()
         self._stack.callback(process.kill)
--- a/packages/testing/src/bamboonotch_testing/fleet/_layout.py
+++ b/packages/testing/src/bamboonotch_testing/fleet/_layout.py
@@ -79,6 +79,11 @@
         """Region that the store is in."""
         return self.data_centres[0].region
 
+    @property
+    def regions(self) -> tuple[str, ...]:
+        """The regions, in the order of their first data centre."""
+        return tuple(dict.fromkeys(centre.region for centre in self.data_centres))
+
     def places(self) -> tuple[NodePlace, ...]:
         """Spread the backend servers of each service over the data centres."""
         places = []
