--- a/packages/node/src/bamboonotch_node/backend/_client.py
+++ b/packages/node/src/bamboonotch_node/backend/_client.py
@@ -24,7 +24,7 @@
     def __init__(self, reactor: Any, clock: Callable[[], float], load: Callable[[], int]) -> None:
         self._connections = BackendConnections(reactor)
         self._clock = clock
-        self._load = load
+        self.load = load
         self.address = ""
 
     def prepare(
@@ -51,7 +51,7 @@
             ended=ended,
             clock=self._clock,
             queue_ms=queue_ms,
-            load=self._load,
+            load=self.load,
         )
 
     def close(self) -> None:
--- a/packages/node/src/bamboonotch_node/backend/_connections.py
+++ b/packages/node/src/bamboonotch_node/backend/_connections.py
@@ -2,19 +2,70 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+from collections import deque
+from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.defer import fail
 from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
-from twisted.web.client import HTTPConnectionPool
+from twisted.internet.protocol import Factory
+from twisted.web.client import HTTP11ClientProtocol
 
-__all__ = ["BackendConnections"]
+from bamboonotch_core.errors import BamboonotchError
+
+__all__ = ["BackendConnections", "ConnectionsExhaustedError"]
 
 CONNECT_TIMEOUT_S = 1.0
 # Below the idle timeouts usual in HTTP servers (5 s and up), so that a pooled connection is
 # seldom closed by the server at the moment of its next use.
 IDLE_TIMEOUT_S = 4.0
-MAX_IDLE_CONNECTIONS = 256
+IDLE_CHECK_S = 1.0
+# The slots of a backend server bound the requests in progress; this bounds what aborted ones add.
+MAX_CONNECTIONS = 512
+
+
+class ConnectionsExhaustedError(BamboonotchError):
+    """As many connections to the backend server are open as are allowed."""
+
+
+class _Connection(HTTP11ClientProtocol):
+    """A connection that carries one request at a time.
+
+    The library's own pool starts and cancels a timer for each request, which this one does not. It
+    also sends a request again when a pooled connection dies, which must never happen here.
+
+    :param pool: takes the connection back.
+    :param address: ``ip:port`` of the backend server.
+    """
+
+    def __init__(self, pool: BackendConnections, address: str) -> None:
+        super().__init__(pool.put_back)
+        self.address = address
+        self._pool = pool
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Take the connection out of the pool.
+
+        :param reason: why.
+        """
+        self._pool.forget(self)
+        super().connectionLost(reason)
+
+
+class _ConnectionFactory(Factory):
+    noisy = False
+
+    def __init__(self, make: Callable[[], _Connection]) -> None:
+        self._make = make
+
+    def buildProtocol(self, addr: Any) -> _Connection:  # noqa: N802
+        """Make a connection.
+
+        :param addr: address of the peer.
+        """
+        return self._make()
 
 
 def _is_open(connection: Any) -> bool:
@@ -22,8 +73,10 @@
 
     The reactor may not have seen the end of the stream yet.
 
-    :param connection: an ``HTTP11ClientProtocol`` that carries no request.
+    :param connection: a connection that carries no request.
     """
+    if connection.state != "QUIESCENT":
+        return False
     handle = connection.transport.getHandle()
     try:
         handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -42,49 +95,90 @@
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
-        self._pool = self._make_pool()
-        self._endpoints: dict[str, Any] = {}
-
-    def _make_pool(self) -> Any:
-        pool = HTTPConnectionPool(self._reactor, persistent=True)
-        # The library would send a request a second time when a pooled connection dies.
-        pool.retryAutomatically = False
-        pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
-        pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
-        return pool
-
-    def _endpoint(self, address: str) -> Any:
-        endpoint = self._endpoints.get(address)
-        if endpoint is None:
-            host, _, port = address.rpartition(":")
-            numeric = host.replace(".", "").isdigit()
-            kind = TCP4ClientEndpoint if numeric else HostnameEndpoint
-            endpoint = kind(self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S)
-            # A backend server has one address at a time.
-            self._endpoints = {address: endpoint}
-        return endpoint
-
-    def acquire(self, address: str) -> Any:
-        """Return a ``Deferred`` of an open connection, from the pool or new.
-
-        It fails when a new connection cannot be opened; nothing was written then.
+        self._address = ""
+        self._endpoint: Any = None
+        self._idle: deque[tuple[float, _Connection]] = deque()
+        self._open: set[_Connection] = set()
+        self._connecting = 0
+        self._check: asyncio.TimerHandle | None = None
+
+    def take_idle(self, address: str) -> Any | None:
+        """Return an idle connection that is alive, or ``None``.
 
         :param address: ``ip:port`` of the backend server.
         """
-        result = self._pool.getConnection(address, self._endpoint(address))
-        return result.addCallback(self._check_open, address)
+        self._choose(address)
+        while self._idle:
+            _, connection = self._idle.pop()
+            if _is_open(connection):
+                return connection
+            connection.transport.abortConnection()
+        return None
+
+    def connect(self, address: str) -> Any:
+        """Return a ``Deferred`` of a new connection; when it fails, nothing was written.
 
-    def _check_open(self, connection: Any, address: str) -> Any:
-        if _is_open(connection):
-            return connection
-        connection.transport.abortConnection()
-        return self.acquire(address)
+        :param address: ``ip:port`` of the backend server.
+        """
+        self._choose(address)
+        if len(self._open) + self._connecting >= MAX_CONNECTIONS:
+            return fail(ConnectionsExhaustedError("too many connections to the backend server"))
+        self._connecting += 1
+        factory = _ConnectionFactory(lambda: _Connection(self, address))
+        return self._endpoint.connect(factory).addBoth(self._connected)
+
+    def put_back(self, connection: Any) -> None:
+        """Keep a connection whose request has ended.
+
+        :param connection: the connection.
+        """
+        if connection.address != self._address:
+            connection.transport.loseConnection()
+            return
+        loop = asyncio.get_running_loop()
+        self._idle.append((loop.time() + IDLE_TIMEOUT_S, connection))
+        if self._check is None:
+            self._check = loop.call_later(IDLE_CHECK_S, self._close_old)
+
+    def forget(self, connection: Any) -> None:
+        """Note that a connection was lost.
+
+        :param connection: the connection.
+        """
+        self._open.discard(connection)
 
     def drop_idle(self) -> None:
         """Close the idle connections, because one of them was found dead."""
-        pool, self._pool = self._pool, self._make_pool()
-        pool.closeCachedConnections()
+        while self._idle:
+            self._idle.pop()[1].transport.abortConnection()
 
     def close(self) -> None:
-        """Close the idle connections and cancel their timers."""
-        self._pool.closeCachedConnections()
+        """Close the idle connections and cancel the timer."""
+        self._address = ""
+        self.drop_idle()
+        if self._check is not None:
+            self._check.cancel()
+            self._check = None
+
+    def _choose(self, address: str) -> None:
+        if address == self._address:
+            return
+        # A backend server has one address at a time.
+        self.drop_idle()
+        self._address = address
+        host, _, port = address.rpartition(":")
+        kind = TCP4ClientEndpoint if host.replace(".", "").isdigit() else HostnameEndpoint
+        self._endpoint = kind(self._reactor, host, int(port), timeout=CONNECT_TIMEOUT_S)
+
+    def _connected(self, result: Any) -> Any:
+        self._connecting -= 1
+        if isinstance(result, _Connection):
+            self._open.add(result)
+        return result
+
+    def _close_old(self) -> None:
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        while self._idle and self._idle[0][0] <= now_s:
+            self._idle.popleft()[1].transport.loseConnection()
+        self._check = loop.call_later(IDLE_CHECK_S, self._close_old) if self._idle else None
--- a/packages/node/src/bamboonotch_node/backend/_exchange.py
+++ b/packages/node/src/bamboonotch_node/backend/_exchange.py
@@ -164,7 +164,7 @@
         self._load = load
         self._started_ms = clock()
         self._connection: Any = None
-        self._acquiring: Any = None
+        self._connecting: Any = None
         self._body: Any = None
         self._deadline: asyncio.TimerHandle | None = None
         self._paused = False
@@ -174,15 +174,20 @@
         """Obtain a connection and send the request."""
         remaining_s = (self._work.deadline_ms - self._started_ms) / 1000
         self._deadline = asyncio.get_running_loop().call_later(remaining_s, self._expire)
-        self._acquiring = self._connections.acquire(self._address)
-        self._acquiring.addCallbacks(self._connected, self._not_connected)
+        connection = self._connections.take_idle(self._address)
+        if connection is not None:
+            self._connected(connection)
+            return
+        self._connecting = self._connections.connect(self._address)
+        self._connecting.addCallbacks(self._connected, self._not_connected)
 
     def abort(self) -> None:
         """Give the work up; its result is still reported."""
         if self._over:
             return
         if self._connection is None:
-            self._acquiring.cancel()
+            if self._connecting is not None:
+                self._connecting.cancel()
             self._end(BackendResult.NOT_RUN)
             return
         self._connection.transport.abortConnection()
@@ -195,15 +200,18 @@
     def pause(self) -> None:
         """Hold the response body up."""
         self._paused = True
-        if self._body is not None and not self._over:
+        if self._is_body_flowing():
             self._body.transport.pauseProducing()
 
     def resume(self) -> None:
         """Let the response body flow again."""
         self._paused = False
-        if self._body is not None and not self._over:
+        if self._is_body_flowing():
             self._body.transport.resumeProducing()
 
+    def _is_body_flowing(self) -> bool:
+        return self._body is not None and self._body.transport is not None and not self._over
+
     def _expire(self) -> None:
         connected = self._connection is not None
         self.abort()
@@ -236,11 +244,20 @@
         self._connection = connection
         result: Deferred[Any] = connection.request(request)
         result.addCallbacks(self._head_received, self._failed)
+        result.addErrback(self._fault)
 
     def _failed(self, failure: Any) -> None:
         not_sent = failure.check(RequestNotSent) is not None
         self._end(BackendResult.NOT_RUN if not_sent else BackendResult.UNKNOWN)
 
+    def _fault(self, failure: Any) -> Any:
+        """Give the work up after an error in this program; the library logs it.
+
+        :param failure: the error.
+        """
+        self.abort()
+        return failure
+
     def _head_received(self, response: Any) -> None:
         if self._over:
             return
--- a/packages/node/src/bamboonotch_node/forwarding/_client.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_client.py
@@ -204,7 +204,7 @@
             self._owner.cancel(effect.attempt_id)
             return
         stream = self._pool.find(effect.owner_id)
-        if stream is None or effect.attempt_id not in stream.attempts:
+        if stream is None:
             return
         stream.release(effect.attempt_id)
         if sent:
--- a/packages/node/src/bamboonotch_node/forwarding/_frames.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_frames.py
@@ -18,6 +18,7 @@
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
 __all__ = [
+    "MAX_ID_CHARACTERS",
     "build_request_head",
     "build_response_head",
     "check_request_head",
@@ -100,7 +101,7 @@
             request_id=request.request_id,
             service=effect.service,
             request_class=effect.request_class,
-            remaining_ms=remaining_ms,
+            remaining_ms=min(remaining_ms, MAX_REMAINING_MS),
             idempotent=effect.idempotent,
             idempotency_key=effect.idempotency_key,
             attempt=effect.attempt,
--- a/packages/node/src/bamboonotch_node/forwarding/_handlers.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_handlers.py
@@ -9,6 +9,6 @@
 
 __all__ = ["EffectHandlers"]
 
-# A map by exact type. Through ``singledispatchmethod`` each effect cost three calls of 33 microseconds
-# under the profiler.
+# A map by exact type. Through ``singledispatchmethod`` each effect cost three calls, each of 33
+# microseconds under the profiler.
 EffectHandlers = dict[type[Effect], Callable[[Any], None]]
--- a/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
@@ -56,6 +56,10 @@
         """Tell whether the head of the response has arrived."""
         return self._head is not None
 
+    def is_complete(self) -> bool:
+        """Tell whether the end of the response has arrived."""
+        return self._complete is not None
+
     def start(self, head: ResponseStart) -> None:
         """Take the head of the backend server's response.
 
--- a/packages/node/src/bamboonotch_node/forwarding/_owner.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_owner.py
@@ -68,7 +68,12 @@
         self._fences: dict[str, tuple[AttemptSink, FenceAnswerer]] = {}
 
     def __len__(self) -> int:
-        return len(self._attempts)
+        """Return the attempts in progress, without the responses kept after their end."""
+        return max(0, len(self._attempts) - len(self._kept))
+
+    def load(self) -> int:
+        """Return the work in slots and queue."""
+        return self._backend.load()
 
     def knows(self, attempt_id: str) -> bool:
         """Tell whether an attempt is in progress.
@@ -109,10 +114,11 @@
         :param attempt_id: the attempt.
         """
         attempt = self._attempts.get(attempt_id)
-        if attempt is None:
-            return
-        attempt.sink = None
-        attempt.give_up_replay()
+        if attempt is not None:
+            attempt.sink = None
+            attempt.give_up_replay()
+            if attempt.is_complete():
+                self._forget(attempt)
         self._dispatch(WorkCancelled(now_ms=self._clock(), attempt_id=attempt_id))
 
     def detach(self, attempt_id: str, sink: AttemptSink) -> None:
--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -13,6 +13,7 @@
 from bamboonotch_core.settings import NodeSettings
 from bamboonotch_node.backend import FlowControl, OfferedWork, ResponseStart
 from bamboonotch_node.forwarding._frames import (
+    MAX_ID_CHARACTERS,
     build_response_head,
     check_request_head,
     decode_request,
@@ -26,7 +27,6 @@
 __all__ = ["ForwardingServer"]
 
 MAX_STREAMS = 4096
-MAX_FENCE_ID_CHARACTERS = 256
 # Request bodies that are being received, over all streams.
 MAX_INCOMING_BODY_BYTES = 64 * 1024 * 1024
 
@@ -224,7 +224,10 @@
         fields = (("attempt_id", attempt_id[:128]), ("reason", reason), ("detail", detail))
         self._server.report(Report("attempt-not-taken", fields))
         refusal = pb.Refusal(
-            attempt_id=attempt_id, not_run=True, reason=reason, load=len(self._server.owner)
+            attempt_id=attempt_id,
+            not_run=True,
+            reason=reason,
+            load=max(0, self._server.owner.load()),
         )
         self._frames.send(pb.ForwardFrame(refusal=refusal))
 
@@ -255,16 +258,19 @@
         self._sinks.pop(attempt_id, None)
 
     def _cancel(self, attempt_id: str) -> None:
+        if len(attempt_id) > MAX_ID_CHARACTERS:
+            raise MessageError("attempt_id of a cancellation is too long")
         self._drop_partial(attempt_id)
         sink = self._sinks.pop(attempt_id, None)
         if sink is not None:
             sink.discard()
-            self._server.owner.cancel(attempt_id)
+        # Also for an attempt that has not come yet, for example over a slower stream.
+        self._server.owner.cancel(attempt_id)
 
     def _fence(self, fence: pb.Fence) -> None:
         attempt_id, fence_id = fence.attempt_id, fence.fence_id
-        if not attempt_id or not 0 < len(fence_id) <= MAX_FENCE_ID_CHARACTERS:
-            raise MessageError("fence without an attempt or an id")
+        if not all(0 < len(text) <= MAX_ID_CHARACTERS for text in (attempt_id, fence_id)):
+            raise MessageError("attempt_id or fence_id of a fence is empty or too long")
         self._drop_partial(attempt_id)
         sink = self._sinks.get(attempt_id) or self._new_sink(attempt_id)
 
--- a/packages/node/src/bamboonotch_node/forwarding/_stream.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_stream.py
@@ -129,8 +129,8 @@
                 self._heard_s = self._loop.time()
                 if self.peer is None:
                     self.peer = self._read_hello(frame)
-                    self.outbox.open()
                     opened(self.peer)
+                    self.outbox.open()
                 elif not self._closed.done():
                     self._take(frame, received)
         except MessageError as error:
@@ -163,7 +163,7 @@
                 node_id=self._identity.node_id, incarnation=self._identity.incarnation
             )
             await self._write(pb.ForwardFrame(hello=hello))
-            while True:
+            while not self._closed.done():
                 frame = self.outbox.next_frame()
                 if frame is None:
                     await self.outbox.wait()
--- a/packages/node/src/bamboonotch_node/http_ingress/_channel.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_channel.py
@@ -122,18 +122,26 @@
 
         :param reason: why.
         """
-        self.factory.connections.discard(self)
+        self.factory.connection_closed(self)
         if self._linger is not None:
             self._linger.cancel()
         super().connectionLost(reason)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Discard what a refused caller still sends.
 
-        :param data: the bytes.
+        :param line: a line of a request's head.
         """
         if not self._refused:
-            super().dataReceived(data)
+            super().lineReceived(line)
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Discard what a refused caller still sends.
+
+        :param data: bytes of a body.
+        """
+        if not self._refused:
+            super().rawDataReceived(data)
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Note that the caller does not read."""
@@ -162,6 +170,10 @@
         self.transport.write(encode_answer(status, reason))
         self.transport.loseWriteConnection()
 
+    def _send100Continue(self) -> None:  # noqa: N802
+        if not self._refused:
+            super()._send100Continue()
+
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         # The library answers malformed input without a body or headers; the mesh adds the outcome.
         too_large = self._receivedHeaderSize > self.totalHeadersSize
@@ -181,6 +193,7 @@
         super().__init__(timeout=IDLE_CONNECTION_S, reactor=reactor)
         self.ingress = ingress
         self.connections: set[CallerChannel] = set()
+        self._all_closed: asyncio.Future[None] | None = None
 
     def startFactory(self) -> None:  # noqa: N802
         """Open no log file and start no clock for log lines."""
@@ -194,6 +207,22 @@
             return None
         return super().buildProtocol(addr)
 
+    def connection_closed(self, channel: CallerChannel) -> None:
+        """Forget a connection.
+
+        :param channel: the connection.
+        """
+        self.connections.discard(channel)
+        waiter = self._all_closed
+        if waiter is not None and not self.connections and not waiter.done():
+            waiter.set_result(None)
+
+    async def wait_closed(self) -> None:
+        """Wait until no connection is left."""
+        if self.connections:
+            self._all_closed = asyncio.get_running_loop().create_future()
+            await self._all_closed
+
     def log(self, request: Any) -> None:
         """Write no access log line.
 
--- a/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from typing import Any
@@ -25,6 +27,8 @@
 
 __all__ = ["HttpIngress"]
 
+# How long callers have to read what was sent before the node ends.
+CLOSE_TIMEOUT_S = 2.0
 # Bodies of all requests in progress together; the node has 256 MB for everything.
 MAX_BODY_MEMORY_BYTES = 64 * 1024 * 1024
 
@@ -87,8 +91,15 @@
         pending = self._pending.get(request_id)
         return None if pending is None else pending.request
 
-    def close(self) -> None:
-        """Break the connections of all callers."""
+    async def close(self) -> None:
+        """Close all connections: those with a request at once, others when all is sent."""
+        for channel in list(self.factory.connections):
+            if channel.requests:
+                channel.transport.abortConnection()
+            else:
+                channel.loseConnection()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.factory.wait_closed(), CLOSE_TIMEOUT_S)
         for channel in list(self.factory.connections):
             channel.transport.abortConnection()
 
--- a/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -10,7 +10,11 @@
 from bamboonotch_core.events import Event
 from bamboonotch_core.settings import NodeSettings
 from bamboonotch_node.backend import BackendClient
-from bamboonotch_node.forwarding import ForwardingClient, ForwardingServer, OwnerSide
+from bamboonotch_node.forwarding import (
+    ForwardingClient,
+    ForwardingServer,
+    OwnerSide,
+)
 from bamboonotch_node.http_ingress._ingress import HttpIngress
 
 __all__ = ["RequestPath", "monotonic_ms"]
@@ -82,8 +86,8 @@
             handler(effect)
 
     async def close(self) -> None:
-        """Break every connection and stream."""
-        self.ingress.close()
+        """Close every connection and stream; what is in progress breaks off."""
+        await self.ingress.close()
         self.server.close()
         await self.client.close()
         self.backend.close()
--- a/packages/node/src/bamboonotch_node/runtime/_store_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_store_driver.py
@@ -19,6 +19,7 @@
     ReadNewest,
     ReadSlots,
     Report,
+    StopCompeting,
     WatchEntry,
     WriteSnapshot,
 )
@@ -132,6 +133,11 @@
         del effect
         self._slots.start()
 
+    @carry_out.register
+    def _(self, effect: StopCompeting) -> None:
+        del effect
+        self._start(self._slots.stop())
+
     @carry_out.register
     def _(self, effect: WriteSnapshot) -> None:
         self._start(self._write_snapshot(effect))
--- /dev/null
+++ b/packages/node/tests/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bamboonotch_node.backend over real sockets."""
--- /dev/null
+++ b/packages/node/tests/backend/test_exchange.py
@@ -0,0 +1,333 @@
+"""Tests of requests to the backend server: how each end is classified, and that none runs twice."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from bamboonotch_core.request_events import BackendResult
+from bamboonotch_node.backend import (
+    BackendClient,
+    CallerRequest,
+    OfferedWork,
+    ResponseStart,
+    _connections,
+)
+from bamboonotch_node.http_ingress import monotonic_ms
+from bamboonotch_testing.backend_server import Mode
+from tests.forwarding.support import PathTest
+
+
+class Receiver:
+    """Keeps a response."""
+
+    def __init__(self) -> None:
+        self.head: ResponseStart | None = None
+        self.body = b""
+        self.complete: bool | None = None
+        self.result: asyncio.Future[BackendResult] = asyncio.get_running_loop().create_future()
+
+    def start(self, head: ResponseStart) -> None:
+        """Keep the head."""
+        self.head = head
+
+    def write(self, data: bytes) -> None:
+        """Keep a piece of the body."""
+        self.body += data
+
+    def finish(self, complete: bool) -> None:
+        """Keep the end."""
+        self.complete = complete
+
+    def ended(self, result: BackendResult, latency_ms: float) -> None:
+        """Keep the result."""
+        self.result.set_result(result)
+
+
+class ScriptedServer(asyncio.Protocol):
+    """Answers each request head with fixed bytes, and may close the connection."""
+
+    def __init__(self, log: list[bytes], answer: bytes, close: bool) -> None:
+        self.log, self.answer, self.close = log, answer, close
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer."""
+        self.log.append(data)
+        self.transport.write(self.answer)
+        if self.close:
+            self.transport.close()
+
+
+class ExchangeTest(PathTest):
+    """A client and backend servers that answer, refuse, lie or die."""
+
+    def make_client(self, address: str) -> BackendClient:
+        """Return a client of a backend server."""
+        from twisted.internet import reactor
+
+        client = BackendClient(reactor, monotonic_ms, lambda: 0)
+        client.address = address
+        self.closers.append(client.close)
+        return client
+
+    def start(
+        self, client: BackendClient, method: str = "GET", timeout_ms: float = 5000, **request: Any
+    ) -> tuple[Receiver, Any]:
+        """Start an exchange."""
+        receiver = Receiver()
+        values = {"path": "/", "headers": (("Host", "shop"),), "body": b"", **request}
+        work = OfferedWork(
+            attempt_id="a/1",
+            service="orders",
+            request_class="c",
+            deadline_ms=monotonic_ms() + timeout_ms,
+            idempotent=False,
+            idempotency_key="",
+            attempt=0,
+            request=CallerRequest(request_id="a", method=method, **values),
+        )
+        exchange = client.prepare(work, receiver, lambda *end: receiver.ended(*end), 0.0)
+        exchange.start()
+        return receiver, exchange
+
+    def set_constant(self, name: str, value: float) -> None:
+        """Change a constant of the pool for one test."""
+        self.addCleanup(setattr, _connections, name, getattr(_connections, name))
+        setattr(_connections, name, value)
+
+    async def start_scripted(self, answer: bytes, close: bool = False) -> tuple[list[bytes], str]:
+        """Start a scripted server and return its log and address."""
+        log: list[bytes] = []
+        server = await asyncio.get_running_loop().create_server(
+            lambda: ScriptedServer(log, answer, close), "127.0.0.1", 0
+        )
+        self.closers.append(server.close)
+        return log, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    def test_answers_and_reuse(self) -> None:
+        """Guards against bodies or lengths that are lost, and a new connection for each request."""
+
+        async def main() -> None:
+            server, address = self.start_backend()
+            client = self.make_client(address)
+            for method, body in (
+                ("GET", b""),
+                ("POST", b"x" * 70_000),
+                ("POST", b""),
+                ("HEAD", b""),
+            ):
+                receiver, _ = self.start(client, method, body=body, path="/?size=1000")
+                self.assertIs(await receiver.result, BackendResult.DONE)
+                self.assertTrue(receiver.complete)
+                self.assertEqual(len(receiver.body), 0 if method == "HEAD" else 1000)
+                self.assertIn(("Content-Length", "1000"), receiver.head.headers)
+            self.assertEqual(server.state.connections, 1)
+            self.assertEqual(server.state.runs[0].request_id, "a")
+
+        self.run_async(main)
+
+    def test_refused_connection_is_not_run(self) -> None:
+        """Guards against "unknown" for work whose bytes never left."""
+
+        async def main() -> None:
+            proxy = self.start_proxy("127.0.0.1:1")
+            await proxy.refuse()
+            receiver, _ = self.start(self.make_client(proxy.address))
+            self.assertIs(await receiver.result, BackendResult.NOT_RUN)
+
+        self.run_async(main)
+
+    def test_explicit_not_run(self) -> None:
+        """Guards against a refusal that is passed on as an answer, or a plain 503 taken for one."""
+
+        async def main() -> None:
+            server, address = self.start_backend()
+            client = self.make_client(address)
+            receiver, _ = self.start(client, path="/?status=503")
+            self.assertIs(await receiver.result, BackendResult.DONE)
+            self.assertEqual(receiver.head.status, 503)
+            server.set_mode(Mode.SHED)
+            receiver, _ = self.start(client)
+            self.assertIs(await receiver.result, BackendResult.NOT_RUN)
+            self.assertIsNone(receiver.head)
+            self.assertEqual(server.state.connections, 1)
+
+        self.run_async(main)
+
+    def test_no_second_dispatch_when_connection_dies(self) -> None:
+        """Guards against the library's retry, which would run the work twice (P6)."""
+
+        async def main() -> None:
+            server, address = self.start_backend()
+            client = self.make_client(address)
+            for method in ("GET", "POST", "DELETE"):
+                server.set_mode(Mode.SERVE)
+                receiver, _ = self.start(client, method)
+                self.assertIs(await receiver.result, BackendResult.DONE)
+                server.set_mode(Mode.CRASH_AFTER_EFFECT)
+                before = len(server.state.runs)
+                receiver, _ = self.start(client, method)
+                self.assertIs(await receiver.result, BackendResult.UNKNOWN)
+                self.assertEqual(len(server.state.runs), before + 1)
+
+        self.run_async(main)
+
+    def test_pooled_connection_closed_by_peer_is_not_used(self) -> None:
+        """Guards against "unknown" for a connection whose end the reactor has not seen yet."""
+
+        async def main() -> None:
+            log, address = await self.start_scripted(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", close=True
+            )
+            client = self.make_client(address)
+            for number in range(1, 20):
+                receiver, _ = self.start(client, "POST")
+                self.assertIs(await receiver.result, BackendResult.DONE)
+                self.assertEqual(len(log), number)
+
+        self.run_async(main)
+
+    def test_silent_pooled_connection_is_unknown_and_replaced(self) -> None:
+        """Guards against pooled connections that went silent and are used again and again."""
+
+        async def main() -> None:
+            server, address = self.start_backend()
+            proxy = self.start_proxy(address)
+            client = self.make_client(proxy.address)
+            pair = [self.start(client, path="/?n=1")[0] for _ in range(2)]
+            for receiver in pair:
+                await receiver.result
+            proxy.freeze()
+            receiver, _ = self.start(client, "POST", timeout_ms=200)
+            self.assertIs(await receiver.result, BackendResult.UNKNOWN)
+            receiver, _ = self.start(client, "POST", timeout_ms=2000)
+            self.assertIs(await receiver.result, BackendResult.DONE)
+            self.assertEqual(len(server.state.runs), 3)
+
+        self.run_async(main)
+
+    def test_deadline_and_abort(self) -> None:
+        """Guards against work that outlives its deadline or its cancellation."""
+
+        async def main() -> None:
+            server, address = self.start_backend("60000")
+            client = self.make_client(address)
+            expired, _ = self.start(client, timeout_ms=100)
+            self.assertIs(await expired.result, BackendResult.UNKNOWN)
+            aborted, exchange = self.start(client)
+            while len(server.state.runs) < 2:
+                await asyncio.sleep(0)
+            exchange.abort()
+            self.assertIs(await aborted.result, BackendResult.UNKNOWN)
+            while server.state.in_flight:
+                await asyncio.sleep(0)
+            self.assertEqual([run.end for run in server.state.runs], ["cancelled"] * 2)
+            unsent, exchange = self.start(client)
+            exchange.abort()
+            self.assertIs(await unsent.result, BackendResult.NOT_RUN)
+
+        self.run_async(main)
+
+    def test_body_cut_short(self) -> None:
+        """Guards against a body that ends early, or without any sign, and counts as complete."""
+
+        async def main() -> None:
+            for head in (b"Content-Length: 10\r\n", b"Transfer-Encoding: chunked\r\n", b""):
+                _, address = await self.start_scripted(
+                    b"HTTP/1.1 200 OK\r\n" + head + b"\r\n5\r\nabc", close=True
+                )
+                receiver, _ = self.start(self.make_client(address))
+                self.assertIs(await receiver.result, BackendResult.DONE)
+                self.assertIs(receiver.complete, False)
+
+        self.run_async(main)
+
+    def test_malformed_responses_are_unknown(self) -> None:
+        """Guards against malformed heads that pass, crash the client or count as not run."""
+
+        async def main() -> None:
+            many = b"".join(b"X-%d: %s\r\n" % (n, b"v" * 2000) for n in range(40))
+            for answer in (
+                b"nonsense\r\n\r\n",
+                b"HTTP/1.1 abc OK\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: odd\r\n\r\n",
+                b"HTTP/1.1 99999 OK\r\nContent-Length: 0\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\n" + many + b"Content-Length: 0\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\nX: " + b"v" * 70_000,
+            ):
+                _, address = await self.start_scripted(answer, close=True)
+                receiver, _ = self.start(self.make_client(address))
+                self.assertIs(await receiver.result, BackendResult.UNKNOWN, answer[:40])
+                self.assertIsNone(receiver.head)
+
+        self.run_async(main)
+
+    def test_idle_connections_are_closed(self) -> None:
+        """Guards against idle connections that are older than the server's idle timeout."""
+
+        async def main() -> None:
+            self.set_constant("IDLE_TIMEOUT_S", 0.05)
+            self.set_constant("IDLE_CHECK_S", 0.01)
+            _, address = self.start_backend()
+            proxy = self.start_proxy(address)
+            receiver, _ = self.start(self.make_client(proxy.address))
+            await receiver.result
+            while proxy.halves:
+                await asyncio.sleep(0.01)
+
+        self.run_async(main)
+
+    def test_connections_are_bounded(self) -> None:
+        """Guards against any number of connections, and against a count that never falls."""
+
+        async def main() -> None:
+            self.set_constant("MAX_CONNECTIONS", 2)
+            server, address = self.start_backend("/slow=60000")
+            client = self.make_client(address)
+            held = [self.start(client, path="/slow") for _ in range(2)]
+            refused, _ = self.start(client)
+            self.assertIs(await refused.result, BackendResult.NOT_RUN)
+            while len(server.state.runs) < 2:
+                await asyncio.sleep(0)
+            for receiver, exchange in held:
+                exchange.abort()
+                await receiver.result
+            while server.state.in_flight:
+                await asyncio.sleep(0)
+            receiver, _ = self.start(client)
+            self.assertIs(await receiver.result, BackendResult.DONE)
+
+        self.run_async(main)
+
+    def test_next_request_starts_in_the_end_of_the_last(self) -> None:
+        """Guards against a connection whose state the next request finds half cleaned up."""
+
+        async def main() -> None:
+            server, address = self.start_backend()
+            client = self.make_client(address)
+            receivers: list[Receiver] = []
+            done = asyncio.get_running_loop().create_future()
+
+            def start_next() -> None:
+                receiver, _ = self.start(client, "POST", body=b"x", path="/?size=30000")
+                receivers.append(receiver)
+                finish = receiver.ended
+
+                def ended(result: BackendResult, latency_ms: float) -> None:
+                    finish(result, latency_ms)
+                    start_next() if len(receivers) < 30 else done.set_result(None)
+
+                receiver.ended = ended
+
+            start_next()
+            await done
+            self.assertEqual({r.result.result() for r in receivers}, {BackendResult.DONE})
+            self.assertEqual({(len(r.body), r.complete) for r in receivers}, {(30_000, True)})
+            self.assertEqual(server.state.connections, 1)
+
+        self.run_async(main)
--- /dev/null
+++ b/packages/node/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bamboonotch_node.forwarding over real sockets."""
--- a/packages/testing/src/bamboonotch_testing/backend_server/_announcer.py
+++ b/packages/testing/src/bamboonotch_testing/backend_server/_announcer.py
@@ -12,6 +12,7 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
+from bamboonotch_testing.backend_server._endpoints import AddressEndpoints
 from bamboonotch_testing.backend_server._server import BackendServer
 
 __all__ = ["Announcer", "MemoryBody"]
@@ -66,7 +67,8 @@
         self._address = address
         self._url = f"http://{node_address}/v1/backend-server".encode("ascii")
         self._pool = HTTPConnectionPool(reactor)
-        self._agent = Agent(reactor, connectTimeout=INTERVAL_S, pool=self._pool)
+        endpoints = AddressEndpoints(reactor, INTERVAL_S)
+        self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool=self._pool)
         self._timer: asyncio.TimerHandle | None = None
         self.last_status = 0
 
--- a/packages/testing/src/bamboonotch_testing/backend_server/_server.py
+++ b/packages/testing/src/bamboonotch_testing/backend_server/_server.py
@@ -192,6 +192,7 @@
         self._times = times
         root = _Root(_Work(self), _Control(self))
         self.site = _QuietSite(self, root, reactor)
+        self.last_headers: Any = None
 
     @property
     def announced_state(self) -> str:
@@ -254,6 +255,7 @@
             path=request.uri.decode("latin-1"),
             started_unix_ms=int(time.time() * 1000),
         )
+        self.last_headers = request.requestHeaders
         state = self.state
         state.runs.append(run)
         state.in_flight += 1
--- a/packages/testing/src/bamboonotch_testing/caller/_call.py
+++ b/packages/testing/src/bamboonotch_testing/caller/_call.py
@@ -12,7 +12,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
 
-from bamboonotch_testing.backend_server import MemoryBody, answer_body
+from bamboonotch_testing.backend_server import AddressEndpoints, MemoryBody, answer_body
 
 __all__ = ["Call", "CallRecord", "CallerClient"]
 
@@ -106,7 +106,8 @@
         self._pool = HTTPConnectionPool(reactor)
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
-        self._agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        endpoints = AddressEndpoints(reactor, CONNECT_TIMEOUT_S)
+        self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool=self._pool)
 
     async def close(self) -> None:
         """Close the idle connections."""
--- a/packages/testing/src/bamboonotch_testing/latency_bench.py
+++ b/packages/testing/src/bamboonotch_testing/latency_bench.py
@@ -19,6 +19,8 @@
 from pathlib import Path
 from typing import Any
 
+# Chooses the threads of gRPC, so it comes before the first import of grpc.
+from bamboonotch_node.http_ingress import RequestPath
 from bamboonotch_testing.caller import (
     CallClass,
     CallerClient,
@@ -42,6 +44,19 @@
     values: dict[str, str]
 
 
+def _schedule_ms(pid: int) -> tuple[float, float]:
+    """Return how long a process ran, and how long it waited for a core, in milliseconds.
+
+    :param pid: the process.
+    """
+    run_ns = wait_ns = 0
+    for file in Path(f"/proc/{pid}/task").glob("*/schedstat"):
+        run, wait, _ = file.read_text().split()
+        run_ns += int(run)
+        wait_ns += int(wait)
+    return run_ns / 1e6, wait_ns / 1e6
+
+
 def _start(arguments: list[str]) -> _Process:
     """Start a Python module and read the ``name=value`` pairs of its first line.
 
@@ -106,7 +121,6 @@
     from twisted.internet import reactor
 
     from bamboonotch_core.settings import IdentitySettings, NodeSettings, StoreSettings
-    from bamboonotch_node.http_ingress import RequestPath
     from bamboonotch_wire import bamboonotch_pb2_grpc as pb_grpc
 
     identity = IdentitySettings(options.node_id, "bench", "r", "d", "", "", "")
@@ -161,7 +175,9 @@
     profile.dump_stats(f"{file}.{os.getpid()}")
 
 
-async def _measure(options: argparse.Namespace, direct: str, meshed: str) -> dict[str, Any]:
+async def _measure(
+    options: argparse.Namespace, direct: str, meshed: str, nodes: dict[str, int]
+) -> dict[str, Any]:
     from twisted.internet import reactor
 
     kind = CallClass(
@@ -175,6 +191,7 @@
         "direct": CallerClient(reactor, direct),
         "meshed": CallerClient(reactor, meshed),
     }
+    used = {node: [0.0, 0.0] for node in nodes}
     for round_number in range(ROUNDS + 1):
         for name, client in clients.items():
             warm_up = round_number == 0
@@ -185,9 +202,16 @@
                 seed=options.seed + round_number,
                 prefix=f"{name}-{round_number}",
             )
+            before = {node: _schedule_ms(pid) for node, pid in nodes.items()}
             result = await run_load(client, plan)
-            if not warm_up:
-                records[name].extend(result)
+            if warm_up:
+                continue
+            records[name].extend(result)
+            if name == "meshed":
+                for node, pid in nodes.items():
+                    after = _schedule_ms(pid)
+                    used[node][0] += after[0] - before[node][0]
+                    used[node][1] += after[1] - before[node][1]
     for client in clients.values():
         await client.close()
 
@@ -207,6 +231,11 @@
         key: round(report["meshed"][key] - report["direct"][key], 3)
         for key in ("median_ms", "p99_ms", "worst_ms")
     }
+    calls = max(1, len(records["meshed"]))
+    report["nodes"] = {
+        node: {"run_ms_per_call": round(run / calls, 3), "wait_ms_per_call": round(wait / calls, 3)}
+        for node, (run, wait) in used.items()
+    }
     report["load"] = {"rate_per_s": options.rate, "seconds": options.seconds}
     return report
 
@@ -218,6 +247,9 @@
         counts = f"{row.get('calls', ''):>8}{row.get('good', ''):>8}"
         times = "".join(f"{row[key]:>10.3f}" for key in ("median_ms", "p99_ms", "worst_ms"))
         print(f"{name:8}{counts}{times}")
+    for node, row in report["nodes"].items():
+        run, wait = row["run_ms_per_call"], row["wait_ms_per_call"]
+        print(f"{node:8} ran {run:.3f} ms and waited {wait:.3f} ms for a core for each call")
 
 
 async def _bench(options: argparse.Namespace) -> None:
@@ -239,7 +271,8 @@
         )
         running.append(ingress)
         meshed = f"127.0.0.1:{ingress.values['http']}"
-        report = await _measure(options, address, meshed)
+        nodes = {"owner": owner.process.pid, "ingress": ingress.process.pid}
+        report = await _measure(options, address, meshed, nodes)
     finally:
         for item in running:
             item.process.terminate()
--- /dev/null
+++ b/packages/testing/tests/backend_server/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bamboonotch_testing.backend_server."""
--- /dev/null
+++ b/packages/testing/tests/fault_proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bamboonotch_testing.fault_proxy."""
