Complete the membership reducer

Property tests drive a dozen reducers through kills, pauses, cuts, crossing and loss. They found a herd return with the store down that left a node isolated; dead members are now also dialled again by the members nearest to their place on the ring.

--- a/packages/core/src/bamboonotch_core/distribution/_recovery.py
+++ b/packages/core/src/bamboonotch_core/distribution/_recovery.py
@@ -135,6 +135,9 @@
         step.refuse_message(peer, message, fault)
         return
     storage, newest = write_record(step.state.storage, message.record)
+    if newest is None:
+        step.refuse_message(peer, message, "record of an earlier life")
+        return
     step.update(storage=storage)
     step.send(peer.link_id, WitnessAck(newest))
 
@@ -160,10 +163,11 @@
     :param node_id: the node.
     :param incarnation: the incarnation.
     """
-    storage = see_incarnation(step.state.storage, node_id, incarnation)
-    if storage is step.state.storage:
+    before = step.state.storage
+    storage = see_incarnation(before, node_id, incarnation)
+    if storage is before:
         return
-    dropped = node_id not in storage.records
+    dropped = node_id in before.records and node_id not in storage.records
     step.update(storage=storage)
     if dropped:
         step.report("witness-record-dropped", node=node_id, incarnation=incarnation)
--- a/packages/core/src/bamboonotch_core/distribution/_witness_register.py
+++ b/packages/core/src/bamboonotch_core/distribution/_witness_register.py
@@ -25,6 +25,7 @@
     "majority",
     "needs_write",
     "next_record",
+    "raise_incarnation",
     "waiting_for",
 ]
 
@@ -134,6 +135,22 @@
     )
 
 
+def raise_incarnation(register: WitnessRegister, incarnation: int) -> WitnessRegister:
+    """Let the record follow the node's incarnation when membership raised it.
+
+    :param register: the register.
+    :param incarnation: the node's incarnation.
+    """
+    if incarnation <= register.incarnation:
+        return register
+    return replace(
+        register,
+        incarnation=incarnation,
+        acknowledged=Map(),
+        former=register.former.union(register.witnesses),
+    )
+
+
 def acknowledge(register: WitnessRegister, node_id: str, record: WitnessRecord) -> WitnessRegister:
     """Take in a witness's answer to a write.
 
--- a/packages/core/src/bamboonotch_core/distribution/_witness_storage.py
+++ b/packages/core/src/bamboonotch_core/distribution/_witness_storage.py
@@ -25,6 +25,9 @@
 MAX_RECORDS = 256
 """A node has about 10 neighbours; the rest is room for records of former neighbours."""
 
+MAX_SEEN = 10_000
+"""As many as membership keeps records by default."""
+
 MAX_WITNESSES = 64
 
 
@@ -48,10 +51,12 @@
 
     :param records: the records.
     :param writes: number of writes so far.
+    :param seen: highest incarnation seen of each node, with a record here or without.
     """
 
     records: Map[str, StoredRecord] = Map()
     writes: int = 0
+    seen: Map[str, int] = Map()
 
 
 def record_fault(record: WitnessRecord, node_id: str) -> str:
@@ -80,15 +85,18 @@
 
 def write_record(
     storage: WitnessStorage, record: WitnessRecord
-) -> tuple[WitnessStorage, WitnessRecord]:
+) -> tuple[WitnessStorage, WitnessRecord | None]:
     """Keep a record unless a newer one is held, and return the newest one.
 
     A record of a lower version than the one held is refused as well, even if it is of a later
-    life: its node is about to run an older version than it has run.
+    life: its node is about to run an older version than it has run. A record of a life that has
+    ended gets no answer: it came late, and lives in between may have run newer versions.
 
     :param storage: the storage.
     :param record: the record written.
     """
+    if record.incarnation < storage.seen.get(record.node_id, 0):
+        return storage, None
     stored = storage.records.get(record.node_id)
     if stored is not None:
         lower = record.version < stored.record.version
@@ -97,7 +105,7 @@
     records = storage.records if stored is not None else _evict(storage.records)
     writes = storage.writes + 1
     records = records.set(record.node_id, StoredRecord(record, None, writes))
-    return WitnessStorage(records, writes), record
+    return replace(storage, records=records, writes=writes), record
 
 
 def see_incarnation(storage: WitnessStorage, node_id: str, incarnation: int) -> WitnessStorage:
@@ -110,15 +118,19 @@
     :param node_id: the node.
     :param incarnation: the incarnation seen.
     """
+    if incarnation <= storage.seen.get(node_id, 0):
+        return storage
+    if node_id not in storage.seen and len(storage.seen) >= MAX_SEEN:
+        return storage
+    storage = replace(storage, seen=storage.seen.set(node_id, incarnation))
     stored = storage.records.get(node_id)
     if stored is None or incarnation <= stored.record.incarnation:
         return storage
     if stored.successor is None:
         records = storage.records.set(node_id, replace(stored, successor=incarnation))
-        return replace(storage, records=records)
-    if incarnation <= stored.successor:
-        return storage
-    return replace(storage, records=storage.records.delete(node_id))
+    else:
+        records = storage.records.delete(node_id)
+    return replace(storage, records=records)
 
 
 def find_record(storage: WitnessStorage, node_id: str) -> WitnessRecord | None:
--- a/packages/core/src/bamboonotch_core/effects.py
+++ b/packages/core/src/bamboonotch_core/effects.py
@@ -15,6 +15,7 @@
     "ReadSlots",
     "Report",
     "SendMessage",
+    "StopCompeting",
     "StopProcess",
     "WatchEntry",
     "WriteSnapshot",
@@ -117,6 +118,11 @@
     fields: tuple[tuple[str, str | int | float | bool], ...] = ()
 
 
+@dataclass(frozen=True)
+class StopCompeting(Effect):
+    """Stop trying to hold a relay slot; nothing is answered."""
+
+
 @dataclass(frozen=True)
 class StopProcess(Effect):
     """End the process; all work in flight is done or its time is up."""
--- a/packages/core/src/bamboonotch_core/membership/_detection.py
+++ b/packages/core/src/bamboonotch_core/membership/_detection.py
@@ -17,7 +17,14 @@
 from bamboonotch_core.membership._regions import hear_cut
 from bamboonotch_core.membership._ring import ring_neighbours, walk_from
 from bamboonotch_core.membership._spreading import send_records, spread_suspicion
-from bamboonotch_core.membership._state import Dial, DialReason, Forgotten, Link, Reported
+from bamboonotch_core.membership._state import (
+    Accusation,
+    Dial,
+    DialReason,
+    Forgotten,
+    Link,
+    Reported,
+)
 from bamboonotch_core.membership._work import Work
 from bamboonotch_core.messages import Suspicion
 
@@ -27,6 +34,7 @@
     "check_retention",
     "check_suspects",
     "confirm_suspicion",
+    "forgive_neighbour",
     "hear_suspicion",
     "restart_suspicion_clocks",
     "suspect_neighbour",
@@ -36,6 +44,11 @@
 REPORTERS_NEEDED = 2
 # Members that dial a suspect when its own neighbours do not make up enough reporters.
 HELPERS = 2
+# Wait before a neighbour that has refuted is reported again; doubles up to 80 s.
+QUIET_MS = 5_000
+MAX_QUIET_DOUBLINGS = 4
+# Longer than the longest wait between two dials.
+ACCUSATION_RETENTION_MS = 60_000
 
 
 def suspect_neighbour(work: Work, node_id: str) -> None:
@@ -49,8 +62,21 @@
         return
     if record.region != work.own_record.region:
         return
-    own_id = work.own_record.node_id
-    hear_suspicion(work, Suspicion(node_id, record.incarnation, record.sequence, own_id), None)
+    if _may_accuse(work, record):
+        own_id = work.own_record.node_id
+        suspicion = Suspicion(node_id, record.incarnation, record.sequence, own_id)
+        hear_suspicion(work, suspicion, None)
+
+
+def forgive_neighbour(work: Work, node_id: str) -> None:
+    """Forget the refutations of a neighbour that has kept a link for some time.
+
+    :param work: the event being handled.
+    :param node_id: the neighbour.
+    """
+    accusations = work.state.detection.accusations
+    if node_id in accusations:
+        work.change_detection(accusations=accusations.delete(node_id))
 
 
 def withdraw_suspicion(work: Work, link: Link) -> None:
@@ -63,9 +89,9 @@
     reported = work.state.detection.reported.get(node_id)
     if reported is None:
         return
-    for reporter in reported.reporters:
+    if reported.reporters:
+        reporter = min(reported.reporters)
         work.send(link, Suspicion(node_id, reported.incarnation, reported.sequence, reporter))
-        break
     own_id = work.own_record.node_id
     if own_id in reported.reporters:
         left = replace(reported, reporters=reported.reporters.delete(own_id))
@@ -97,6 +123,9 @@
         elif reporter.region == record.region:
             _verify(work, record, suspicion)
         return
+    if record.state is MemberState.SUSPECT:
+        # Agreed already; further reports would only add traffic when many die at once.
+        return
     if (suspicion.incarnation, suspicion.sequence) == (record.incarnation, record.sequence):
         _count_report(work, suspicion, record, link)
 
@@ -121,7 +150,8 @@
 
     :param work: the event being handled.
     """
-    for node_id, reported in work.state.detection.reported.items():
+    _drop_old_accusations(work)
+    for node_id, reported in sorted(work.state.detection.reported.items()):
         if work.now_ms < reported.check_ms:
             continue
         kept = _drop_old_reports(work, node_id, reported)
@@ -135,7 +165,7 @@
 
     :param work: the event being handled.
     """
-    for node_id, suspect in work.state.detection.suspects.items():
+    for node_id, suspect in sorted(work.state.detection.suspects.items()):
         if work.now_ms - suspect.since_ms >= work.settings.suspicion_ms:
             record = work.state.directory.records[node_id]
             store_record(work, replace(record, state=MemberState.DEAD), None)
@@ -173,6 +203,36 @@
     work.change_detection(forgotten=forgotten, next_expiry_ms=min(expiries, default=float("inf")))
 
 
+def _may_accuse(work: Work, record: MemberRecord) -> bool:
+    """Tell whether to report a neighbour; one that keeps refuting is reported ever less often.
+
+    A path that is broken for long while others work would otherwise cost the whole fleet a
+    report and a refutation at each failed dial.
+    """
+    accusations = work.state.detection.accusations
+    last = accusations.get(record.node_id)
+    refutations = 0
+    if last is not None and last.incarnation == record.incarnation:
+        if last.sequence == record.sequence:
+            return True
+        if work.now_ms < last.quiet_until_ms:
+            return False
+        refutations = min(last.refutations + 1, MAX_QUIET_DOUBLINGS)
+    quiet_until_ms = work.now_ms + QUIET_MS * 2**refutations
+    entry = Accusation(record.incarnation, record.sequence, quiet_until_ms, refutations)
+    work.change_detection(accusations=accusations.set(record.node_id, entry))
+    return True
+
+
+def _drop_old_accusations(work: Work) -> None:
+    accusations = work.state.detection.accusations
+    for node_id, entry in accusations.items():
+        if work.now_ms > entry.quiet_until_ms + ACCUSATION_RETENTION_MS:
+            accusations = accusations.delete(node_id)
+    if accusations is not work.state.detection.accusations:
+        work.change_detection(accusations=accusations)
+
+
 def _answer_suspicion(work: Work, suspicion: Suspicion, link: Link | None) -> None:
     own = work.own_record
     heard = (suspicion.incarnation, suspicion.sequence)
@@ -198,10 +258,12 @@
     reporters = reported.reporters.set(suspicion.reporter, work.now_ms)
     reported = replace(reported, reporters=reporters)
     work.change_detection(reported=work.state.detection.reported.set(node_id, reported))
-    work.raise_routing_generation()
+    if suspicion.reporter == work.own_record.node_id:
+        work.raise_routing_generation()
     spread_suspicion(work, suspicion, (record.region,), "" if link is None else link.link_id)
-    if record.state is not MemberState.SUSPECT and _is_agreed(work, node_id, reported):
-        store_record(work, replace(record, state=MemberState.SUSPECT), None)
+    if _is_agreed(work, node_id, reported):
+        # The reports have reached the whole region, where everybody draws the same conclusion.
+        store_record(work, replace(record, state=MemberState.SUSPECT), None, only_abroad=True)
 
 
 def _is_agreed(work: Work, node_id: str, reported: Reported) -> bool:
@@ -225,9 +287,10 @@
         if work.now_ms - time_ms > _report_valid_ms(work):
             reporters = reporters.delete(reporter)
     everyone = work.state.detection.reported
+    if len(reporters) < len(reported.reporters):
+        work.raise_routing_generation()
     if not reporters:
         work.change_detection(reported=everyone.delete(node_id))
-        work.raise_routing_generation()
         return None
     check_ms = work.now_ms + work.settings.suspicion_ms
     kept = replace(reported, reporters=reporters, check_ms=check_ms)
--- a/packages/core/src/bamboonotch_core/membership/_dialling.py
+++ b/packages/core/src/bamboonotch_core/membership/_dialling.py
@@ -29,6 +29,8 @@
 ]
 
 MAX_PENDING_DIALS = 16
+# A dial to a dead VM is in flight until it times out.
+MAX_PENDING_DEAD_DIALS = 8
 # A link that ended at once is dialled again as if this many dials had failed.
 BRIEF_LINK_FAILURES = 3
 
@@ -83,14 +85,19 @@
 
     :param work: the event being handled.
     """
-    for dial in work.state.overlay.dials.values():
+    for dial in work.dials:
         if dial.in_flight and work.now_ms >= dial.due_ms:
             fail_dial(work, dial)
-    dials = work.state.overlay.dials.values()
+    dials = work.dials
     free = MAX_PENDING_DIALS - sum(dial.in_flight for dial in dials)
     due = [dial for dial in dials if not dial.in_flight and dial.due_ms <= work.now_ms]
     due.sort(key=lambda dial: (_REASON_ORDER[dial.reason], dial.due_ms, dial.address))
-    for dial in due[: max(free, 0)]:
+    dead = sum(dial.in_flight and dial.reason == DialReason.DEAD for dial in dials)
+    # Reasons come in the order of their weight, so dead members take only what is left over.
+    wanted = [dial for dial in due if dial.reason != DialReason.DEAD]
+    spare = [dial for dial in due if dial.reason == DialReason.DEAD]
+    chosen = wanted + spare[: max(MAX_PENDING_DEAD_DIALS - dead, 0)]
+    for dial in chosen[: max(free, 0)]:
         deadline_ms = work.now_ms + work.settings.silent_after_ms
         add_dial(work, replace(dial, in_flight=True, due_ms=deadline_ms))
         work.emit(OpenLink(dial.address))
@@ -126,7 +133,7 @@
     :param link: the link.
     """
     peer = link.peer
-    for dial in work.state.overlay.dials.values():
+    for dial in work.dials:
         same_address = link.outbound and dial.address == peer.peer_address
         if dial.node_id == peer.node_id or (same_address and not dial.node_id):
             dials = work.state.overlay.dials.delete(dial.address)
@@ -152,10 +159,11 @@
 def _find_missing(work: Work) -> list[str]:
     """Return the wanted peers without link, and further contacts of regions out of reach."""
     state = work.state
-    missing = [node_id for node_id in wanted_peers(state) if node_id not in state.overlay.by_peer]
+    linked_peers = state.overlay.by_peer
+    missing = [node_id for node_id in sorted(wanted_peers(state)) if node_id not in linked_peers]
     if state.overlay.failed_contacts and is_gateway(work):
         linked = linked_regions(work)
-        for region in state.overlay.failed_contacts:
+        for region in sorted(state.overlay.failed_contacts):
             if region not in linked:
                 contacts = find_contacts(work, region)
                 missing.extend(node_id for node_id in contacts if node_id not in missing)
@@ -165,7 +173,7 @@
 def _drop_stale(work: Work, missing: list[str]) -> None:
     overlay = work.state.overlay
     kept = overlay.dials
-    for dial in overlay.dials.values():
+    for dial in work.dials:
         if not dial.in_flight and not _is_needed(work, dial, missing):
             kept = kept.delete(dial.address)
     if kept is not overlay.dials:
--- a/packages/core/src/bamboonotch_core/membership/_directory.py
+++ b/packages/core/src/bamboonotch_core/membership/_directory.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from heapq import nsmallest
 
 from immutables import Map
 
@@ -11,6 +13,7 @@
 
 __all__ = [
     "EMPTY_DIRECTORY",
+    "LOWEST_KEPT",
     "Directory",
     "RegionMembers",
     "choose_gateway",
@@ -25,12 +28,12 @@
 
     :param live: hash of each live member.
     :param slot_holders: data centre and number of the relay slot of each live holder.
-    :param lowest: live member of lowest hash, or empty.
+    :param lowest: live members of lowest hash, lowest first, up to ``LOWEST_KEPT``.
     """
 
     live: Map[str, int] = Map()
     slot_holders: Map[str, tuple[str, int]] = Map()
-    lowest: str = ""
+    lowest: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -54,6 +57,9 @@
     digest: int = 0
 
 
+# A gateway tries this many members of another region before it calls the region unreachable.
+LOWEST_KEPT = 3
+
 EMPTY_DIRECTORY = Directory()
 
 
@@ -107,7 +113,7 @@
     :param members: live members of the region.
     """
     if not members.slot_holders:
-        return members.lowest
+        return members.lowest[0]
     return min((slot, node_id) for node_id, slot in members.slot_holders.items())[1]
 
 
@@ -117,18 +123,13 @@
     members = regions.get(record.region, RegionMembers())
     live, lowest = members.live, members.lowest
     if record.node_id not in live:
-        number = hash_node_id(record.node_id)
-        live = live.set(record.node_id, number)
-        if not lowest or (number, record.node_id) < (live[lowest], lowest):
-            lowest = record.node_id
+        live = live.set(record.node_id, hash_node_id(record.node_id))
+        lowest = _find_lowest(live, (*lowest, record.node_id))
     slot_holders = members.slot_holders
     slot = (record.data_centre, record.relay_slot)
     if record.relay_slot < 0:
-        slot_holders = (
-            slot_holders.delete(record.node_id)
-            if record.node_id in slot_holders
-            else (slot_holders)
-        )
+        if record.node_id in slot_holders:
+            slot_holders = slot_holders.delete(record.node_id)
     elif slot_holders.get(record.node_id) != slot:
         slot_holders = slot_holders.set(record.node_id, slot)
     if live is members.live and slot_holders is members.slot_holders:
@@ -149,12 +150,16 @@
     if record.node_id in slot_holders:
         slot_holders = slot_holders.delete(record.node_id)
     lowest = members.lowest
-    if lowest == record.node_id:
-        # Only the loss of this one member costs a pass over its region.
-        lowest = min((number, node_id) for node_id, number in live.items())[1]
+    if record.node_id in lowest:
+        # Only the loss of one of these few members costs a pass over its region.
+        lowest = _find_lowest(live, live)
     return regions.set(record.region, RegionMembers(live, slot_holders, lowest))
 
 
+def _find_lowest(live: Map[str, int], node_ids: Iterable[str]) -> tuple[str, ...]:
+    return tuple(nsmallest(LOWEST_KEPT, node_ids, key=lambda node_id: (live[node_id], node_id)))
+
+
 def _index_service(
     services: Map[str, Map[str, MemberRecord]],
     old: MemberRecord | None,
--- a/packages/core/src/bamboonotch_core/membership/_exchange.py
+++ b/packages/core/src/bamboonotch_core/membership/_exchange.py
@@ -52,7 +52,7 @@
     due_ms = work.state.schedule.heartbeat_ms
     if work.now_ms < due_ms:
         return
-    for link in work.state.overlay.links.values():
+    for link in work.links:
         send_heartbeat(work, link)
     interval_ms = work.settings.heartbeat_interval_ms
     next_ms = due_ms + interval_ms
@@ -139,7 +139,7 @@
 def _records_in(work: Work, data_centres: Iterable[str]) -> Iterable[MemberRecord]:
     directory = work.state.directory
     for data_centre in dict.fromkeys(data_centres):
-        for node_id in directory.data_centres.get(data_centre, ()):
+        for node_id in sorted(directory.data_centres.get(data_centre, ())):
             yield directory.records[node_id]
 
 
--- a/packages/core/src/bamboonotch_core/membership/_links.py
+++ b/packages/core/src/bamboonotch_core/membership/_links.py
@@ -9,7 +9,11 @@
 from bamboonotch_core.effects import CloseLink
 from bamboonotch_core.events import LinkOpened
 from bamboonotch_core.member_record import MemberState
-from bamboonotch_core.membership._detection import suspect_neighbour, withdraw_suspicion
+from bamboonotch_core.membership._detection import (
+    forgive_neighbour,
+    suspect_neighbour,
+    withdraw_suspicion,
+)
 from bamboonotch_core.membership._dialling import dial_again, settle_dials
 from bamboonotch_core.membership._exchange import send_digests, send_heartbeat
 from bamboonotch_core.membership._merge import hear_of_self
@@ -31,6 +35,8 @@
 
 # A relay-slot holder is the first contact of many newcomers after a herd restart.
 MAX_LINKS = 256
+# A link that has lived for this many silence times is taken to work.
+PROVEN_FACTOR = 2
 
 
 def open_link(work: Work, event: LinkOpened) -> None:
@@ -66,6 +72,8 @@
     """
     heard = replace(link, heard_ms=work.now_ms, proven=True)
     _put_link(work, heard)
+    if work.now_ms - link.opened_ms >= PROVEN_FACTOR * work.settings.silent_after_ms:
+        forgive_neighbour(work, link.peer.node_id)
     return heard
 
 
@@ -101,7 +109,7 @@
 
     :param work: the event being handled.
     """
-    for link in work.state.overlay.links.values():
+    for link in work.links:
         if work.now_ms - link.heard_ms < work.settings.silent_after_ms:
             continue
         work.report("link-silent", node_id=link.peer.node_id, link_id=link.link_id)
--- a/packages/core/src/bamboonotch_core/membership/_merge.py
+++ b/packages/core/src/bamboonotch_core/membership/_merge.py
@@ -5,10 +5,10 @@
 from dataclasses import replace
 
 from bamboonotch_core.member_record import MemberRecord, MemberState, supersedes
-from bamboonotch_core.membership._dials import add_dial
+from bamboonotch_core.membership._dead_dials import dial_dead_neighbour
 from bamboonotch_core.membership._directory import put_record
-from bamboonotch_core.membership._spreading import note_changed, send_records
-from bamboonotch_core.membership._state import Dial, DialReason, Forgotten, Link, Suspect
+from bamboonotch_core.membership._spreading import note_changed, note_known, send_records
+from bamboonotch_core.membership._state import Forgotten, Link, Suspect
 from bamboonotch_core.membership._work import Work
 
 __all__ = ["hear_of_self", "merge_record", "publish_own", "store_record"]
@@ -16,7 +16,12 @@
 # Old gossip can come back from a region that was cut off, which lasts an hour now and then.
 FORGOTTEN_RETENTION_FACTOR = 12
 
+# Two processes with one node id would otherwise outbid each other as fast as the network allows.
+# What is passed over comes again with the next exchange.
+MIN_RAISE_INTERVAL_MS = 1_000
+
 _CONDEMNED = (MemberState.SUSPECT, MemberState.DEAD)
+_LEAVING = (MemberState.DRAINING, MemberState.STOPPED)
 
 
 def merge_record(work: Work, record: MemberRecord, link: Link | None) -> None:
@@ -27,6 +32,8 @@
     :param link: the link that it came from, or ``None``.
     """
     if record.node_id == work.own_record.node_id:
+        if link is not None and record == work.own_record:
+            note_known(work, record.node_id, link)
         hear_of_self(work, record.incarnation, record.sequence, record)
         return
     held = work.state.directory.records.get(record.node_id)
@@ -34,6 +41,8 @@
         _merge_unknown(work, record, link)
     elif supersedes(record, held):
         store_record(work, _soften_death(record, held), link)
+    elif link is not None and record == held:
+        note_known(work, record.node_id, link)
 
 
 def _soften_death(record: MemberRecord, held: MemberRecord) -> MemberRecord:
@@ -71,7 +80,10 @@
     if record == own or (incarnation, sequence) < (own.incarnation, own.sequence):
         return
     if incarnation > own.incarnation:
+        if work.now_ms - work.state.own.raised_ms < MIN_RAISE_INTERVAL_MS:
+            return
         raised = replace(own, incarnation=incarnation + 1, sequence=0)
+        work.change_own(raised_ms=work.now_ms)
         work.report("incarnation-raised", incarnation=raised.incarnation)
     else:
         raised = replace(own, sequence=sequence + 1)
@@ -80,22 +92,25 @@
     work.urgent = True
 
 
-def store_record(work: Work, record: MemberRecord, link: Link | None) -> None:
+def store_record(
+    work: Work, record: MemberRecord, link: Link | None, only_abroad: bool = False
+) -> None:
     """Put a newer record into the directory, queue it, and bring all that depends on it up to date.
 
     :param work: the event being handled.
     :param record: the record.
     :param link: the link that it came from, or ``None``.
+    :param only_abroad: whether the members of this region know of the change by themselves.
     """
     old = work.state.directory.records.get(record.node_id)
     _replace_in_directory(work, old, record)
     # Accusations and refutations must cross the region within the suspicion time.
     urgent = _settle_detection(work, old, record)
-    work.urgent = work.urgent or urgent
+    work.urgent = work.urgent or urgent or _is_leaving(old, record)
     _report_change(work, old, record)
-    note_changed(work, record.node_id, link)
+    note_changed(work, record.node_id, link, only_abroad)
     if record.state is MemberState.DEAD:
-        _keep_dialling(work, record)
+        dial_dead_neighbour(work, record)
 
 
 def _merge_unknown(work: Work, record: MemberRecord, link: Link | None) -> None:
@@ -179,6 +194,8 @@
         dead_since = dead_since.set(node_id, work.now_ms)
     elif node_id in dead_since:
         dead_since = dead_since.delete(node_id)
+    if suspects is not detection.suspects:
+        work.raise_routing_generation()
     if suspects is not detection.suspects or dead_since is not detection.dead_since:
         work.change_detection(suspects=suspects, dead_since=dead_since)
     if record.state is not MemberState.SUSPECT and node_id in detection.reported:
@@ -190,6 +207,11 @@
     return urgent
 
 
+def _is_leaving(old: MemberRecord | None, record: MemberRecord) -> bool:
+    """Tell whether a ready member has begun to leave, which must be known everywhere soon (P7)."""
+    return old is not None and old.state is MemberState.READY and record.state in _LEAVING
+
+
 def _settle_cut(work: Work, record: MemberRecord) -> bool:
     """End the cut of a region when the member that it was reported by has a newer record."""
     cut = work.state.detection.cuts.get(record.region)
@@ -216,15 +238,3 @@
         )
     elif old is None or old.state is not record.state:
         work.report("member-state", node_id=record.node_id, state=record.state.value)
-
-
-def _keep_dialling(work: Work, record: MemberRecord) -> None:
-    """Keep dialling the address of a dead neighbour, where it may return."""
-    overlay = work.state.overlay
-    if record.node_id not in overlay.successors + overlay.predecessors:
-        return
-    dial = overlay.dials.get(record.peer_address)
-    if dial is None:
-        dial = Dial(record.peer_address, record.node_id, DialReason.DEAD, work.now_ms)
-    expires_ms = work.now_ms + work.settings.redial_ms
-    add_dial(work, replace(dial, reason=DialReason.DEAD, expires_ms=expires_ms))
--- a/packages/core/src/bamboonotch_core/membership/_overlay.py
+++ b/packages/core/src/bamboonotch_core/membership/_overlay.py
@@ -4,6 +4,9 @@
 
 from dataclasses import replace
 
+from immutables import Map
+
+from bamboonotch_core.membership._dead_dials import adopt_dead_members
 from bamboonotch_core.membership._directory import RegionMembers, choose_gateway
 from bamboonotch_core.membership._ring import make_ring, predecessors, successors
 from bamboonotch_core.membership._state import Link, MembershipState
@@ -49,6 +52,7 @@
         _refresh_gateways(work)
     if overlay.ring_dirty:
         _refresh_ring(work)
+        adopt_dead_members(work)
 
 
 def find_unneeded_links(work: Work) -> list[Link]:
@@ -61,7 +65,7 @@
     overlay = work.state.overlay
     wanted = wanted_peers(work.state)
     links = overlay.links
-    for link in overlay.links.values():
+    for link in work.links:
         unneeded = link.outbound and link.peer.node_id not in wanted
         unneeded = unneeded and not _is_only_contact(work, link)
         if unneeded == (link.unwanted_since_ms is not None):
@@ -71,22 +75,26 @@
     if links is not overlay.links:
         work.change_overlay(links=links)
     linked = sum(node_id in overlay.by_peer for node_id in wanted)
-    if not linked:
-        return []
-    complete = linked == len(wanted)
-    return [link for link in links.values() if _is_over(work, link, complete, linked)]
+    _note_complete(work, 0 < linked == len(wanted))
+    return [link for link in work.links if _is_over(work, link, linked)]
+
+
+def _note_complete(work: Work, complete: bool) -> None:
+    if complete != (work.state.overlay.complete_since_ms is not None):
+        work.change_overlay(complete_since_ms=work.now_ms if complete else None)
 
 
-def _is_over(work: Work, link: Link, complete: bool, linked: int) -> bool:
+def _is_over(work: Work, link: Link, linked: int) -> bool:
     if link.unwanted_since_ms is None:
         return False
     same_region = link.peer.region == work.own_record.region
     grace_ms = LINK_GRACE_MS if same_region else INTER_REGION_GRACE_MS
-    if not complete:
-        if linked < LINKS_NEEDED_WHEN_STUCK:
-            return False
-        grace_ms *= STUCK_GRACE_FACTOR
-    return work.now_ms - link.unwanted_since_ms >= grace_ms
+    complete_since_ms = work.state.overlay.complete_since_ms
+    if complete_since_ms is not None:
+        return work.now_ms - max(link.unwanted_since_ms, complete_since_ms) >= grace_ms
+    if linked < LINKS_NEEDED_WHEN_STUCK:
+        return False
+    return work.now_ms - link.unwanted_since_ms >= STUCK_GRACE_FACTOR * grace_ms
 
 
 def _is_only_contact(work: Work, link: Link) -> bool:
@@ -102,7 +110,7 @@
 def _refresh_gateways(work: Work) -> None:
     overlay = work.state.overlay
     gateways = overlay.gateways
-    for region in overlay.dirty_regions:
+    for region in sorted(overlay.dirty_regions):
         members = work.state.directory.regions.get(region)
         gateway = choose_gateway(members) if members is not None else ""
         if gateway == gateways.get(region, ""):
@@ -110,6 +118,9 @@
         gateways = gateways.set(region, gateway) if gateway else gateways.delete(region)
         work.report("gateway-changed", region=region, node_id=gateway)
     work.change_overlay(gateways=gateways, dirty_regions=frozenset())
+    own = work.own_record
+    if gateways.get(own.region) != own.node_id and overlay.failed_contacts:
+        work.change_overlay(failed_contacts=Map())
 
 
 def _refresh_ring(work: Work) -> None:
--- a/packages/core/src/bamboonotch_core/membership/_peer_messages.py
+++ b/packages/core/src/bamboonotch_core/membership/_peer_messages.py
@@ -8,7 +8,7 @@
 from bamboonotch_core.membership._exchange import answer_request, compare_digests, hear_heartbeat
 from bamboonotch_core.membership._merge import merge_record
 from bamboonotch_core.membership._state import Link
-from bamboonotch_core.membership._validation import find_record_fault
+from bamboonotch_core.membership._validation import find_record_fault, find_suspicion_fault
 from bamboonotch_core.membership._work import Work
 from bamboonotch_core.messages import (
     Heartbeat,
@@ -59,4 +59,8 @@
 
 @handle_message.register
 def _(message: Suspicion, work: Work, link: Link) -> None:
-    hear_suspicion(work, message, link)
+    fault = find_suspicion_fault(message)
+    if fault:
+        work.report("suspicion-refused", peer=link.peer.node_id, reason=fault)
+    else:
+        hear_suspicion(work, message, link)
--- a/packages/core/src/bamboonotch_core/membership/_regions.py
+++ b/packages/core/src/bamboonotch_core/membership/_regions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bamboonotch_core.member_record import MemberRecord
+from bamboonotch_core.membership._directory import LOWEST_KEPT
 from bamboonotch_core.membership._spreading import spread_suspicion
 from bamboonotch_core.membership._state import Link, RegionCut
 from bamboonotch_core.membership._work import Work
@@ -21,7 +22,7 @@
 ]
 
 # Members of a region that must all be out of reach before the region counts as unreachable.
-CONTACTS_PER_REGION = 3
+CONTACTS_PER_REGION = LOWEST_KEPT
 
 
 def is_gateway(work: Work) -> bool:
@@ -38,7 +39,7 @@
 
     :param work: the event being handled.
     """
-    return frozenset(link.peer.region for link in work.state.overlay.links.values())
+    return frozenset(link.peer.region for link in work.links)
 
 
 def find_contacts(work: Work, region: str) -> tuple[str, ...]:
@@ -52,7 +53,7 @@
         return ()
     holders = sorted((slot, node_id) for node_id, slot in members.slot_holders.items())
     contacts = [node_id for _, node_id in holders[:CONTACTS_PER_REGION]]
-    for node_id in (members.lowest, *_first_live(members.live)):
+    for node_id in members.lowest:
         if len(contacts) < CONTACTS_PER_REGION and node_id not in contacts:
             contacts.append(node_id)
     return tuple(contacts)
@@ -97,7 +98,7 @@
     settings = work.settings
     # A new gateway takes over the reports after it has found the old one dead and dialled.
     valid_ms = 2 * (settings.silent_after_ms + settings.suspicion_ms)
-    for region, cut in work.state.detection.cuts.items():
+    for region, cut in sorted(work.state.detection.cuts.items()):
         if work.now_ms - cut.reported_ms > valid_ms:
             work.change_detection(cuts=work.state.detection.cuts.delete(region))
             work.raise_routing_generation()
@@ -148,7 +149,7 @@
 
 def _report_cuts(work: Work) -> None:
     linked = linked_regions(work)
-    for region, failed in work.state.overlay.failed_contacts.items():
+    for region, failed in sorted(work.state.overlay.failed_contacts.items()):
         contacts = find_contacts(work, region)
         if region in linked or not contacts or not failed.issuperset(contacts):
             continue
@@ -156,12 +157,3 @@
         own_id = work.own_record.node_id
         report = Suspicion(record.node_id, record.incarnation, record.sequence, own_id)
         hear_cut(work, report, record, None)
-
-
-def _first_live(live: object) -> list[str]:
-    found = []
-    for node_id in live:  # type: ignore[attr-defined]
-        found.append(node_id)
-        if len(found) == CONTACTS_PER_REGION:
-            break
-    return found
--- a/packages/core/src/bamboonotch_core/membership/_rendezvous.py
+++ b/packages/core/src/bamboonotch_core/membership/_rendezvous.py
@@ -6,6 +6,7 @@
 from bamboonotch_core.events import SlotsRead
 from bamboonotch_core.membership._dials import add_dial
 from bamboonotch_core.membership._state import Dial, DialReason
+from bamboonotch_core.membership._validation import find_address_fault
 from bamboonotch_core.membership._work import Work
 
 __all__ = ["check_contact", "hear_slots", "hear_slots_unread"]
@@ -46,9 +47,15 @@
     :param work: the event being handled.
     :param event: the slots.
     """
-    own = work.own_record
-    near = [item.peer_address for item in event.holders if item.data_centre == own.data_centre]
-    far = [item.peer_address for item in event.holders if item.data_centre != own.data_centre]
+    near: list[str] = []
+    far: list[str] = []
+    for holder in event.holders:
+        fault = find_address_fault(holder.peer_address)
+        if fault:
+            work.report("slot-refused", data_centre=holder.data_centre, reason=fault)
+            continue
+        same = holder.data_centre == work.own_record.data_centre
+        (near if same else far).append(holder.peer_address)
     if work.state.overlay.links:
         _dial_unknown_holder(work, near + far)
         return
@@ -154,7 +161,7 @@
 
 def _drop_waiting(work: Work) -> None:
     dials = work.state.overlay.dials
-    for dial in dials.values():
+    for dial in work.dials:
         if dial.reason == DialReason.RENDEZVOUS and not dial.in_flight:
             dials = dials.delete(dial.address)
     work.change_overlay(dials=dials)
--- a/packages/core/src/bamboonotch_core/membership/_ring.py
+++ b/packages/core/src/bamboonotch_core/membership/_ring.py
@@ -12,6 +12,7 @@
     "LINK_BASE",
     "Ring",
     "make_ring",
+    "nearest_members",
     "predecessors",
     "ring_neighbours",
     "successors",
@@ -59,6 +60,18 @@
     return frozenset(successors(ring, node_id) + predecessors(ring, node_id))
 
 
+def nearest_members(ring: Ring, node_id: str) -> tuple[str, ...]:
+    """Return the members just before and after the place of one that is not on the ring.
+
+    :param ring: the ring.
+    :param node_id: the node that is not on it.
+    """
+    if not ring:
+        return ()
+    index = bisect_left(ring, (hash_node_id(node_id), node_id))
+    return (ring[index - 1][1], ring[index % len(ring)][1])
+
+
 def walk_from(ring: Ring, node_id: str) -> Iterator[str]:
     """Yield the other members in ring order, starting after a member.
 
--- a/packages/core/src/bamboonotch_core/membership/_spreading.py
+++ b/packages/core/src/bamboonotch_core/membership/_spreading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import replace
 
 from immutables import Map
 
@@ -17,6 +18,7 @@
     "flush_urgent_updates",
     "is_inter_region",
     "note_changed",
+    "note_known",
     "send_records",
     "spread_suspicion",
 ]
@@ -36,17 +38,37 @@
     return link.peer.region != work.own_record.region
 
 
-def note_changed(work: Work, node_id: str, link: Link | None) -> None:
+def note_changed(work: Work, node_id: str, link: Link | None, only_abroad: bool = False) -> None:
     """Queue a changed record for the next flush.
 
     :param work: the event being handled.
     :param node_id: the member.
     :param link: the link that the change came from, or ``None``.
+    :param only_abroad: whether the members of this region know of the change by themselves.
     """
-    update = PendingUpdate("", False)
+    pending = work.state.spreading.pending
+    waiting = pending.get(node_id)
+    if waiting is not None and not waiting.only_abroad:
+        # This region has not been sent the state before this one.
+        only_abroad = False
+    update = PendingUpdate(only_abroad=only_abroad)
     if link is not None:
-        update = PendingUpdate(link.link_id, is_inter_region(work, link))
-    work.change_spreading(pending=work.state.spreading.pending.set(node_id, update))
+        update = PendingUpdate(frozenset((link.link_id,)), is_inter_region(work, link))
+    work.change_spreading(pending=pending.set(node_id, update))
+
+
+def note_known(work: Work, node_id: str, link: Link) -> None:
+    """Note that a peer holds the record that waits to be sent, so that it need not be sent there.
+
+    :param work: the event being handled.
+    :param node_id: the member.
+    :param link: the link to the peer.
+    """
+    pending = work.state.spreading.pending
+    update = pending.get(node_id)
+    if update is not None:
+        known = replace(update, holders=update.holders | {link.link_id})
+        work.change_spreading(pending=pending.set(node_id, known))
 
 
 def flush_updates(work: Work) -> None:
@@ -57,7 +79,7 @@
     pending = work.state.spreading.pending
     if not pending:
         return
-    for link in work.state.overlay.links.values():
+    for link in work.links:
         send_records(work, link, list(_records_for(work, link, pending)))
     work.change_spreading(pending=Map())
 
@@ -94,7 +116,7 @@
     :param source: link id that it came from, or empty.
     """
     chosen = frozenset(regions)
-    for link in work.state.overlay.links.values():
+    for link in work.links:
         if link.link_id != source and link.peer.region in chosen:
             work.send(link, suspicion)
 
@@ -102,11 +124,18 @@
 def _records_for(
     work: Work, link: Link, pending: Map[str, PendingUpdate]
 ) -> Iterator[MemberRecord]:
-    inter_region = is_inter_region(work, link)
     records = work.state.directory.records
-    for node_id, update in pending.items():
-        if update.link_id == link.link_id or (update.inter_region and inter_region):
-            continue
+    for node_id, update in sorted(pending.items()):
         record = records.get(node_id)
-        if record is not None:
+        if record is not None and _is_needed(work, link, update, record):
             yield record
+
+
+def _is_needed(work: Work, link: Link, update: PendingUpdate, record: MemberRecord) -> bool:
+    if link.link_id in update.holders:
+        return False
+    if not is_inter_region(work, link):
+        return not update.only_abroad
+    # A second link to the member's own region exists only while that region is split; news of
+    # the member must then pass between the parts, so that it can refute an accusation in time.
+    return not update.from_abroad or record.region == link.peer.region
--- a/packages/core/src/bamboonotch_core/membership/_state.py
+++ b/packages/core/src/bamboonotch_core/membership/_state.py
@@ -14,6 +14,7 @@
 from bamboonotch_core.settings import NodeSettings
 
 __all__ = [
+    "Accusation",
     "BackendServer",
     "Detection",
     "Dial",
@@ -75,6 +76,7 @@
     :param operator_drain: whether an operator drained this node.
     :param shutting_down: whether the process was asked to end.
     :param work_finished: whether the last work of a shutdown is done.
+    :param raised_ms: when the incarnation was last raised, in milliseconds.
     """
 
     record: MemberRecord
@@ -82,6 +84,7 @@
     operator_drain: bool = False
     shutting_down: bool = False
     work_finished: bool = False
+    raised_ms: float = float("-inf")
 
 
 @dataclass(frozen=True)
@@ -157,6 +160,7 @@
     :param failed_contacts: members of a region without link that could not be reached.
     :param rendezvous: addresses still to try while this node has no link.
     :param alone: whether this node has no link and has reported it.
+    :param complete_since_ms: since when every wanted peer is linked, or ``None``.
     """
 
     links: Map[str, Link] = Map()
@@ -172,6 +176,7 @@
     failed_contacts: Map[str, frozenset[str]] = Map()
     rendezvous: tuple[str, ...] = ()
     alone: bool = False
+    complete_since_ms: float | None = None
 
 
 @dataclass(frozen=True)
@@ -190,6 +195,22 @@
     check_ms: float = 0.0
 
 
+@dataclass(frozen=True)
+class Accusation:
+    """How this node has reported one neighbour, and how often the neighbour refuted that.
+
+    :param incarnation: the neighbour's incarnation at the last report.
+    :param sequence: its sequence number at the last report.
+    :param quiet_until_ms: when this node may report it again after a refutation.
+    :param refutations: refutations so far.
+    """
+
+    incarnation: int
+    sequence: int
+    quiet_until_ms: float
+    refutations: int = 0
+
+
 @dataclass(frozen=True)
 class Suspect:
     """A member that dies unless it refutes in time.
@@ -239,6 +260,7 @@
     """Suspected and dead members and unreachable regions.
 
     :param reported: suspicions, by suspect.
+    :param accusations: own reports, by neighbour.
     :param suspects: the suspect members.
     :param dead_since: when each dead member became so.
     :param next_expiry_ms: no dead or forgotten member expires before this time.
@@ -247,6 +269,7 @@
     """
 
     reported: Map[str, Reported] = Map()
+    accusations: Map[str, Accusation] = Map()
     suspects: Map[str, Suspect] = Map()
     dead_since: Map[str, float] = Map()
     next_expiry_ms: float = float("inf")
@@ -258,12 +281,14 @@
 class PendingUpdate:
     """A changed record that waits to be spread.
 
-    :param link_id: the link it came from, or empty.
-    :param inter_region: whether that link leads to another region.
+    :param holders: links on which the peer is known to hold it.
+    :param from_abroad: whether it came from another region, so that only this one needs it.
+    :param only_abroad: whether the members of this region know it by themselves.
     """
 
-    link_id: str
-    inter_region: bool
+    holders: frozenset[str] = frozenset()
+    from_abroad: bool = False
+    only_abroad: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/membership/_validation.py
+++ b/packages/core/src/bamboonotch_core/membership/_validation.py
@@ -6,13 +6,16 @@
 
 from bamboonotch_core.events import BackendServerAnnounced, PeerIdentity
 from bamboonotch_core.member_record import MemberRecord, MemberState
+from bamboonotch_core.messages import Suspicion
 
 __all__ = [
     "ANNOUNCED_STATES",
     "MAX_COUNTER",
+    "find_address_fault",
     "find_announcement_fault",
     "find_peer_fault",
     "find_record_fault",
+    "find_suspicion_fault",
 ]
 
 MAX_SLOTS = 10_000
@@ -46,6 +49,28 @@
     return ""
 
 
+def find_address_fault(address: str) -> str:
+    """Return what is wrong with an address, or an empty string.
+
+    :param address: the address.
+    """
+    return "" if _is_address(address) else "address must be ip:port"
+
+
+def find_suspicion_fault(suspicion: Suspicion) -> str:
+    """Return what is wrong with a suspicion, or an empty string.
+
+    :param suspicion: the suspicion.
+    """
+    if not 1 <= suspicion.incarnation < MAX_COUNTER:
+        return "incarnation out of range"
+    if not 0 <= suspicion.sequence < MAX_COUNTER:
+        return "sequence out of range"
+    if suspicion.node_id == suspicion.reporter:
+        return "reporter is the suspect"
+    return ""
+
+
 def find_peer_fault(peer: PeerIdentity) -> str:
     """Return what is wrong with a peer's identity, or an empty string.
 
--- a/packages/core/src/bamboonotch_core/membership/_views.py
+++ b/packages/core/src/bamboonotch_core/membership/_views.py
@@ -9,7 +9,7 @@
 
 from bamboonotch_core.member_record import MemberRecord, MemberState
 from bamboonotch_core.membership._overlay import wanted_peers
-from bamboonotch_core.membership._state import MembershipState
+from bamboonotch_core.membership._state import Link, MembershipState
 
 __all__ = [
     "LinkKind",
@@ -180,7 +180,7 @@
         Neighbour(
             link.link_id,
             link.peer.node_id,
-            link.peer.incarnation,
+            _incarnation_of(state, link),
             link.peer.region,
             link.peer.data_centre,
             _kind_of(state, link.peer.region, link.peer.data_centre),
@@ -250,6 +250,14 @@
     ]
 
 
+def _incarnation_of(state: MembershipState, link: Link) -> int:
+    """Return the incarnation of a linked peer, which may have raised it since the link opened."""
+    record = state.directory.records.get(link.peer.node_id)
+    if record is None:
+        return link.peer.incarnation
+    return max(link.peer.incarnation, record.incarnation)
+
+
 def _kind_of(state: MembershipState, region: str, data_centre: str) -> LinkKind:
     own = state.own.record
     if region != own.region:
--- a/packages/core/src/bamboonotch_core/membership/_work.py
+++ b/packages/core/src/bamboonotch_core/membership/_work.py
@@ -9,7 +9,7 @@
 from bamboonotch_core.member_record import MemberRecord
 from bamboonotch_core.membership._directory import Directory
 from bamboonotch_core.membership._random import next_fraction
-from bamboonotch_core.membership._state import Link, LocalVersions, MembershipState
+from bamboonotch_core.membership._state import Dial, Link, LocalVersions, MembershipState
 from bamboonotch_core.messages import Message
 from bamboonotch_core.settings import MembershipSettings
 from bamboonotch_core.transition import Transition
@@ -49,6 +49,21 @@
         """Return this node's record."""
         return self.state.own.record
 
+    @property
+    def links(self) -> list[Link]:
+        """Return the open links in the order of their ids.
+
+        A map's own order depends on the process's hash seed, and effects must not.
+        """
+        links = self.state.overlay.links
+        return [links[link_id] for link_id in sorted(links)]
+
+    @property
+    def dials(self) -> list[Dial]:
+        """Return the addresses to dial in their order."""
+        dials = self.state.overlay.dials
+        return [dials[address] for address in sorted(dials)]
+
     def finish(self) -> Transition[MembershipState]:
         """Return the result."""
         if self._omitted:
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -7,9 +7,10 @@
 from functools import singledispatch
 
 from bamboonotch_core._membership_view import refresh_view
+from bamboonotch_core._slot_competition import wants_slot
 from bamboonotch_core.admission import is_idle, reduce_admission, with_incarnation
 from bamboonotch_core.distribution import reduce_distribution
-from bamboonotch_core.effects import Effect, StopProcess
+from bamboonotch_core.effects import CompeteForSlot, Effect, StopCompeting, StopProcess
 from bamboonotch_core.events import (
     BackendServerAnnounced,
     DrainRequested,
@@ -162,7 +163,7 @@
 
 @_reduce_event.register
 def _(event: Tick, state: NodeState) -> NodeTransition:
-    transition = _reduce_all(event, state)
+    transition = _compete(_reduce_all(event, state))
     if _must_refuse_callers(transition.state, event.now_ms):
         refusing = _reduce_ingress(ShutdownRequested(event.now_ms), transition.state)
         transition = Transition(refusing.state, transition.effects + refusing.effects)
@@ -177,6 +178,16 @@
     return Transition(state, transition.effects + leaving.effects)
 
 
+def _compete(transition: NodeTransition) -> NodeTransition:
+    """Start or stop competing for a relay slot."""
+    state = transition.state
+    wanted = wants_slot(state.membership)
+    if wanted is None or wanted == state.competing:
+        return transition
+    effect = CompeteForSlot() if wanted else StopCompeting()
+    return Transition(replace(state, competing=wanted), (*transition.effects, effect))
+
+
 def _must_refuse_callers(state: NodeState, now_ms: float) -> bool:
     """Tell whether a process that shuts down must take no more requests."""
     if state.shutdown_deadline_ms is None or state.outcomes.shutting_down:
--- a/packages/core/src/bamboonotch_core/state.py
+++ b/packages/core/src/bamboonotch_core/state.py
@@ -28,6 +28,7 @@
     :param table: effective routing table, computed from the two above.
     :param outcomes: requests that entered at this node.
     :param admission: work for the backend server beside this node.
+    :param competing: whether this node competes for a relay slot; it does from the start.
     :param shutdown_deadline_ms: when the process ends at the latest, or ``None`` while it is not
         shutting down.
     :param shutdown_idle_after_ms: when an idle process may end at the earliest.
@@ -40,6 +41,7 @@
     table: RoutingTable
     outcomes: OutcomeState
     admission: AdmissionState
+    competing: bool = True
     shutdown_deadline_ms: float | None = None
     shutdown_idle_after_ms: float = 0.0
     stop_ms: float | None = None
--- a/packages/core/tests/membership/fleet.py
+++ b/packages/core/tests/membership/fleet.py
@@ -4,7 +4,7 @@
 
 import heapq
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bamboonotch_core import effects, events
 from bamboonotch_core.member_record import MemberRecord, MemberState
@@ -16,12 +16,7 @@
     reduce_membership,
 )
 from bamboonotch_core.messages import Message
-from bamboonotch_core.settings import (
-    IdentitySettings,
-    MembershipSettings,
-    NodeSettings,
-    StoreSettings,
-)
+from bamboonotch_core.settings import IdentitySettings, NodeSettings, StoreSettings
 
 TICK_MS = 100.0
 LOCAL_MS = 2.0
@@ -34,25 +29,12 @@
 
 
 def make_settings(
-    node_id: str,
-    region: str = "east",
-    data_centre: str = "east-1",
-    seeds: tuple[str, ...] = (),
-    membership: MembershipSettings | None = None,
+    node_id: str, region: str = "east", data_centre: str = "east-1", seeds: tuple[str, ...] = ()
 ) -> NodeSettings:
     """Return the settings of one node; its addresses follow from its id."""
-    identity = IdentitySettings(
-        node_id,
-        "himal-thali",
-        region,
-        data_centre,
-        address_of(node_id),
-        f"{node_id}:81",
-        f"{node_id}:82",
-        seeds,
-    )
-    store = StoreSettings("store:8500", "east")
-    return NodeSettings(identity, store, membership=membership or MembershipSettings())
+    addresses = (address_of(node_id), f"{node_id}:81", f"{node_id}:82")
+    identity = IdentitySettings(node_id, "himal-thali", region, data_centre, *addresses, seeds)
+    return NodeSettings(identity, StoreSettings("store:8500", "east"))
 
 
 def address_of(node_id: str) -> str:
@@ -62,21 +44,10 @@
 
 def make_record(node_id: str, **changes: object) -> MemberRecord:
     """Return a valid record of a ready member."""
-    fields: dict[str, object] = {
-        "node_id": node_id,
-        "incarnation": 1,
-        "sequence": 1,
-        "region": "east",
-        "data_centre": "east-1",
-        "peer_address": address_of(node_id),
-        "http_address": f"{node_id}:81",
-        "admin_address": f"{node_id}:82",
-        "service": "menu",
-        "slots": 6,
-        "state": MemberState.READY,
-        "relay_slot": -1,
-    }
-    return MemberRecord(**(fields | changes))  # type: ignore[arg-type]
+    addresses = (address_of(node_id), f"{node_id}:81", f"{node_id}:82")
+    place = ("east", "east-1")
+    record = MemberRecord(node_id, 1, 1, *place, *addresses, "menu", 6, MemberState.READY, -1)
+    return replace(record, **changes)  # type: ignore[arg-type]
 
 
 def make_peer(node_id: str, region: str = "east", incarnation: int = 1) -> events.PeerIdentity:
@@ -251,10 +222,6 @@
                 self._happen(node_id, generation, event_type, fields)
         self.now_ms = end_ms
 
-    def give(self, node_id: str, event_type: type[events.Event], *fields: object) -> None:
-        """Let one event happen at a node now."""
-        self._happen(node_id, self.processes[node_id].generation, event_type, fields)
-
     def alive(self) -> list[str]:
         """Return the nodes whose processes run."""
         return [node_id for node_id, process in self.processes.items() if process.alive]
