--- a/packages/core/src/bamboonotch_core/_membership_view.py
+++ b/packages/core/src/bamboonotch_core/_membership_view.py
@@ -41,8 +41,12 @@
         if open_links != view.neighbours:
             view = replace(view, neighbours=open_links)
     reader, lowest = is_store_reader(after), is_lowest_slot(after)
-    if (reader, lowest) != (view.is_store_reader, view.is_lowest_slot):
-        view = replace(view, is_store_reader=reader, is_lowest_slot=lowest)
+    incarnation = own_record(after).incarnation
+    known = (view.is_store_reader, view.is_lowest_slot, view.own_incarnation)
+    if (reader, lowest, incarnation) != known:
+        view = replace(
+            view, is_store_reader=reader, is_lowest_slot=lowest, own_incarnation=incarnation
+        )
     return view
 
 
@@ -57,7 +61,8 @@
 
 
 def _open_links(state: MembershipState) -> tuple[Neighbour, ...]:
-    links = neighbours(state)
+    opened_ms = {link_id: link.opened_ms for link_id, link in state.overlay.links.items()}
+    links = tuple(sorted(neighbours(state), key=lambda link: opened_ms[link.link_id]))
     lasting = _lasting_peers(state, links)
     return tuple(
         Neighbour(
--- a/packages/core/src/bamboonotch_core/membership/_rendezvous.py
+++ b/packages/core/src/bamboonotch_core/membership/_rendezvous.py
@@ -14,10 +14,10 @@
 RENDEZVOUS_DIALS = 3
 RENDEZVOUS_ADDRESSES = 32
 KNOWN_MEMBERS_TRIED = 3
-# A linked node reads the slots again to find parts of the fleet that it lost sight of. The time
-# grows with the fleet, so that all nodes together read about 10 times a second.
-REREAD_MIN_MS = 10_000
-REREAD_PER_MEMBER_MS = 100
+# Some linked nodes read the slots again to find parts of the fleet that they lost sight of.
+REREAD_MS = 10_000
+# Without a live slot holder among them, this many members of lowest hash of a region read.
+STAND_IN_REREADERS = 2
 # The first reads after a start come sooner, because a herd restart leaves small islands.
 REREAD_FIRST_MS = 2_000
 REREAD_DOUBLINGS = 20
@@ -82,16 +82,26 @@
         _drop_waiting(work)
         _plan_reread(work)
     elif work.now_ms >= schedule.slots_read_ms:
-        work.emit(ReadSlots())
+        if _rereads_slots(work):
+            work.emit(ReadSlots())
         _plan_reread(work)
 
 
+def _rereads_slots(work: Work) -> bool:
+    """Tell whether this node looks for lost parts of the fleet.
+
+    Every part has such a node, and their number does not grow with the fleet.
+    """
+    own = work.own_record
+    region = work.state.directory.regions.get(own.region)
+    if own.relay_slot >= 0 or region is None:
+        return True
+    return own.node_id in region.lowest[:STAND_IN_REREADERS]
+
+
 def _plan_reread(work: Work) -> None:
     reads = work.state.schedule.slots_read_failures
-    members = work.state.directory.regions
-    count = sum(len(region.live) for region in members.values())
-    limit_ms = max(REREAD_MIN_MS, REREAD_PER_MEMBER_MS * count)
-    wait_ms = min(REREAD_FIRST_MS * 2 ** min(reads, REREAD_DOUBLINGS), limit_ms)
+    wait_ms = min(REREAD_FIRST_MS * 2 ** min(reads, REREAD_DOUBLINGS), REREAD_MS)
     wait_ms = wait_ms / 2 + work.draw_ms(wait_ms)
     work.change_schedule(slots_read_ms=work.now_ms + wait_ms, slots_read_failures=reads + 1)
 
--- a/packages/core/tests/distribution/fleet.py
+++ b/packages/core/tests/distribution/fleet.py
@@ -5,8 +5,12 @@
 import random
 from dataclasses import dataclass, field
 
-from bamboonotch_core.configuration import Configuration, digest_document, encode_snapshot
-from bamboonotch_core.configuration import parse_configuration
+from bamboonotch_core.configuration import (
+    Configuration,
+    digest_document,
+    encode_snapshot,
+    parse_configuration,
+)
 from bamboonotch_core.distribution import (
     DistributionState,
     MembershipView,
--- a/packages/core/tests/distribution/support.py
+++ b/packages/core/tests/distribution/support.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from functools import lru_cache
+from functools import cache
 from typing import TypeVar
 
 from bamboonotch_core.configuration import (
@@ -48,11 +48,11 @@
 ) -> NodeSettings:
     """Return settings of a node; the store is in region ``east``."""
     identity = IdentitySettings(node_id, "t", region, f"{region}-1", "a:1", "a:2", "a:3")
-    store = StoreSettings(address="a:4", region="east")
+    store = StoreSettings(address="a:4", region="east", watch_ms=30_000)
     return NodeSettings(identity, store, distribution or DistributionSettings())
 
 
-@lru_cache(maxsize=None)
+@cache
 def make_version(version: int) -> tuple[bytes, Document]:
     """Return the entry and the document of a version; every version adds a service."""
     if version == 0:
--- a/packages/core/tests/distribution/test_properties.py
+++ b/packages/core/tests/distribution/test_properties.py
@@ -31,9 +31,7 @@
     """Carry out one action of a schedule."""
     if action in ("deliver", "lose", "repeat", "cross"):
         for _ in range(int(value)):
-            fleet.deliver(
-                lose=action == "lose", repeat=action == "repeat", cross=action == "cross"
-            )
+            fleet.deliver(lose=action == "lose", repeat=action == "repeat", cross=action == "cross")
     elif action == "calm":
         fleet.calm(int(value))
     elif action == "tick":
--- /dev/null
+++ b/packages/core/tests/model/__init__.py
@@ -0,0 +1,1 @@
+"""Exhaustive checks of the core protocol; docs/specification.md describes the models."""
