--- a/packages/cli/tests/test_settings.py
+++ b/packages/cli/tests/test_settings.py
@@ -9,7 +9,7 @@
 from bamboonotch_cli.errors import CommandError, ExitStatus
 from bamboonotch_cli.settings import OperatorSettings, override, read_settings
 from bamboonotch_core.errors import SettingsError
-from tests.support import run_command
+from tests.support import EXAMPLES, run_command
 
 GOOD = """
 [operator]
@@ -91,3 +91,15 @@
         self.assertIn("key speed", result.errors)
         missing = run_command(["--settings", str(self.path) + ".absent", "versions"])
         self.assertEqual(missing.status, ExitStatus.USAGE)
+
+
+class ExampleSettingsTest(unittest.TestCase):
+    """The example files."""
+
+    def test_examples_are_valid(self) -> None:
+        """Guards against an example that a newcomer cannot use."""
+        for tenant in ("himal-thali", "mkaa-bora"):
+            with self.subTest(tenant=tenant):
+                settings = read_settings(EXAMPLES / tenant / "operator.ini")
+                self.assertEqual(settings.tenant, tenant)
+                self.assertEqual(len(settings.node_admin_addresses), 2)
