Push a new version at once between the gateways of the store's region and others

Only the store's region brings new versions, so its gateway need not ask first whether another gateway has one. Other links between regions still announce.

--- a/packages/core/src/bamboonotch_core/_membership_view.py
+++ b/packages/core/src/bamboonotch_core/_membership_view.py
@@ -42,6 +42,8 @@
             view = replace(view, neighbours=open_links)
     reader, lowest = is_store_reader(after), is_lowest_slot(after)
     incarnation = own_record(after).incarnation
+    if after.overlay.gateways is not before.overlay.gateways:
+        view = replace(view, far_gateways=_far_gateways(after))
     known = (view.is_store_reader, view.is_lowest_slot, view.own_incarnation)
     if (reader, lowest, incarnation) != known:
         view = replace(
@@ -50,6 +52,14 @@
     return view
 
 
+def _far_gateways(state: MembershipState) -> frozenset[str]:
+    own = own_record(state)
+    gateways = state.overlay.gateways
+    if own.region != state.settings.store.region or gateways.get(own.region) != own.node_id:
+        return frozenset()
+    return frozenset(gateways.values()) - {own.node_id}
+
+
 def _with_members(view: MembershipView, state: MembershipState) -> MembershipView:
     """Take over the live members; those of a region that is cut off cannot be waited for."""
     addresses = {
--- a/packages/core/src/bamboonotch_core/distribution/_spreading.py
+++ b/packages/core/src/bamboonotch_core/distribution/_spreading.py
@@ -102,7 +102,9 @@
 def spread(step: Step, before: int) -> None:
     """Offer versions that have just been held to the neighbours that may lack them.
 
-    What came from another region is not offered to a third one.
+    What came from another region is not offered to a third one. The gateway of the store's region
+    pushes at once to the other gateways, because no other node brings them a new version; every
+    other link between regions announces first.
 
     :param step: the step.
     :param before: version held before.
@@ -120,15 +122,18 @@
         known = _knowledge(step, peer.link_id).held_version
         if known >= state.held_version:
             continue
-        _offer(step, peer, max(before, known), announce=far)
+        if far:
+            push = peer.node_id in step.view.far_gateways
+        else:
+            push = state.settings.distribution.push is PushMode.EAGER
+        _offer(step, peer, max(before, known), push=push)
 
 
-def _offer(step: Step, peer: Neighbour, after: int, *, announce: bool) -> None:
+def _offer(step: Step, peer: Neighbour, after: int, *, push: bool) -> None:
     state = step.state
     versions = range(after + 1, state.held_version + 1)
-    eager = state.settings.distribution.push is PushMode.EAGER and not announce
     few = len(versions) <= MAX_EAGER_ENTRIES
-    if eager and few and all(version in state.entries for version in versions):
+    if push and few and all(version in state.entries for version in versions):
         for version in versions:
             step.send(peer.link_id, VersionPush(version, state.entries[version]))
         return
--- a/packages/core/src/bamboonotch_core/distribution/_view.py
+++ b/packages/core/src/bamboonotch_core/distribution/_view.py
@@ -41,6 +41,8 @@
     :param is_lowest_slot: whether this node holds the lowest relay slot of the store's region.
     :param peer_addresses: ``ip:port`` of live members by node id, to reach a witness that is no
         longer a neighbour; may be empty.
+    :param far_gateways: gateways of the other regions, if this node is the gateway of the store's
+        region; only it can offer them a version that they cannot have from anyone else.
     :param own_incarnation: this node's incarnation in its member record; membership raises it when
         it finds a higher one, and witnesses refuse records of lower ones. 0 when it is not known.
     """
@@ -50,4 +52,5 @@
     is_store_reader: bool = False
     is_lowest_slot: bool = False
     peer_addresses: Mapping[str, str] = Map()
+    far_gateways: frozenset[str] = frozenset()
     own_incarnation: int = 0
--- a/packages/core/tests/distribution/test_spreading.py
+++ b/packages/core/tests/distribution/test_spreading.py
@@ -61,6 +61,15 @@
         self.assertEqual(driver.sent(VersionPush), [("b", VersionPush(1, entry_of(1)))])
         self.assertEqual(driver.sent(VersionAnnounce), [("far", VersionAnnounce(1))])
 
+    def test_gateway_of_the_store_pushes_to_other_gateways(self) -> None:
+        """Guards against paying for an announcement and a request on billed links."""
+        peers = (neighbour("a"), neighbour("far", "west"), neighbour("other", "west"))
+        driver = started(0, *peers)
+        driver.view = replace(driver.view, far_gateways=frozenset({"far"}))
+        driver.receive("a", VersionPush(1, entry_of(1)))
+        self.assertEqual(driver.sent(VersionPush), [("far", VersionPush(1, entry_of(1)))])
+        self.assertEqual(driver.sent(VersionAnnounce), [("other", VersionAnnounce(1))])
+
     def test_announce_mode_sends_numbers_only(self) -> None:
         """Guards against duplicate deltas where the links are billed."""
         driver = started(distribution=DistributionSettings(push=PushMode.ANNOUNCE))
