Settle a start of 100 nodes on 10 cores: longer dials, and allowance for own slowness

Cause: on busy machines a dial did not end within 1 s, was given up and repeated, and its peer was accused; each dial costs both ends several milliseconds, so the storm fed itself.

--- a/packages/core/src/bamboonotch_core/membership/_detection.py
+++ b/packages/core/src/bamboonotch_core/membership/_detection.py
@@ -9,6 +9,7 @@
 from bamboonotch_core.member_record import MemberRecord, MemberState
 from bamboonotch_core.membership._dials import add_dial
 from bamboonotch_core.membership._directory import remove_record
+from bamboonotch_core.membership._health import is_overloaded
 from bamboonotch_core.membership._merge import (
     FORGOTTEN_RETENTION_FACTOR,
     hear_of_self,
@@ -60,7 +61,7 @@
     record = work.state.directory.records.get(node_id)
     if record is None or record.state is MemberState.DEAD:
         return
-    if record.region != work.own_record.region:
+    if record.region != work.own_record.region or is_overloaded(work):
         return
     if _may_accuse(work, record):
         own_id = work.own_record.node_id
@@ -140,6 +141,8 @@
     if record is None or record.region == work.own_record.region:
         suspect_neighbour(work, node_id)
         return
+    if is_overloaded(work):
+        return
     own_id = work.own_record.node_id
     suspicion = Suspicion(node_id, record.incarnation, record.sequence, own_id)
     spread_suspicion(work, suspicion, (record.region,), "")
--- a/packages/core/src/bamboonotch_core/membership/_dialling.py
+++ b/packages/core/src/bamboonotch_core/membership/_dialling.py
@@ -8,6 +8,7 @@
 from bamboonotch_core.member_record import MemberState
 from bamboonotch_core.membership._detection import confirm_suspicion, suspect_neighbour
 from bamboonotch_core.membership._dials import add_dial
+from bamboonotch_core.membership._health import patience
 from bamboonotch_core.membership._overlay import wanted_peers
 from bamboonotch_core.membership._regions import (
     find_contacts,
@@ -98,7 +99,7 @@
     spare = [dial for dial in due if dial.reason == DialReason.DEAD]
     chosen = wanted + spare[: max(MAX_PENDING_DEAD_DIALS - dead, 0)]
     for dial in chosen[: max(free, 0)]:
-        deadline_ms = work.now_ms + work.settings.silent_after_ms
+        deadline_ms = work.now_ms + work.settings.silent_after_ms * patience(work)
         add_dial(work, replace(dial, in_flight=True, due_ms=deadline_ms))
         work.emit(OpenLink(dial.address))
 
@@ -216,4 +217,4 @@
     """Return a wait by exponential backoff with full jitter, in milliseconds."""
     settings = work.settings
     limit_ms = settings.backoff_min_ms * 2 ** min(failures, _MAX_DOUBLINGS)
-    return work.draw_ms(min(limit_ms, settings.backoff_max_ms))
+    return work.draw_ms(min(limit_ms * patience(work), settings.backoff_max_ms))
--- a/packages/core/src/bamboonotch_core/membership/_links.py
+++ b/packages/core/src/bamboonotch_core/membership/_links.py
@@ -16,6 +16,7 @@
 )
 from bamboonotch_core.membership._dialling import dial_again, settle_dials
 from bamboonotch_core.membership._exchange import send_digests, send_heartbeat
+from bamboonotch_core.membership._health import patience
 from bamboonotch_core.membership._merge import hear_of_self
 from bamboonotch_core.membership._regions import note_region_linked
 from bamboonotch_core.membership._spreading import send_records
@@ -110,7 +111,7 @@
     :param work: the event being handled.
     """
     for link in work.links:
-        if work.now_ms - link.heard_ms < work.settings.silent_after_ms:
+        if work.now_ms - link.heard_ms < work.settings.silent_after_ms * patience(work):
             continue
         work.report("link-silent", node_id=link.peer.node_id, link_id=link.link_id)
         close_link(work, link, "silent")
--- a/packages/core/src/bamboonotch_core/membership/_reducer.py
+++ b/packages/core/src/bamboonotch_core/membership/_reducer.py
@@ -34,6 +34,7 @@
     restart_dial_clocks,
 )
 from bamboonotch_core.membership._exchange import send_heartbeats
+from bamboonotch_core.membership._health import note_tick
 from bamboonotch_core.membership._links import (
     check_silence,
     close_link,
@@ -107,7 +108,7 @@
     _check_start(work)
     if work.now_ms - work.state.schedule.last_tick_ms > PAUSE_MS:
         _restart_clocks(work)
-    work.change_schedule(last_tick_ms=work.now_ms)
+    note_tick(work)
     check_announcement_age(work)
     refresh_own_record(work)
     check_silence(work)
--- a/packages/core/src/bamboonotch_core/membership/_state.py
+++ b/packages/core/src/bamboonotch_core/membership/_state.py
@@ -314,6 +314,7 @@
     :param heartbeat_ms: time of the next heartbeat.
     :param slots_read_ms: time of the next read of the relay slots.
     :param slots_read_failures: consecutive reads that led to no link.
+    :param lag_ms: how late ticks came lately, a peak that fades.
     :param full_report_ms: time before which a full directory is not reported again.
     """
 
@@ -322,6 +323,7 @@
     heartbeat_ms: float
     slots_read_ms: float
     slots_read_failures: int = 0
+    lag_ms: float = 0.0
     full_report_ms: float = 0.0
 
 
--- a/packages/node/src/bamboonotch_node/control/_links.py
+++ b/packages/node/src/bamboonotch_node/control/_links.py
@@ -29,7 +29,8 @@
 
 __all__ = ["CHANNEL_OPTIONS", "ControlLinks"]
 
-DIAL_TIMEOUT_S = 1.0
+# Longer than the reducer waits for a dial of a process that is not overloaded.
+DIAL_TIMEOUT_S = 3.0
 MAX_LINKS = 256
 CHANNEL_OPTIONS = (
     # A redial must open a new connection: channels with equal targets would otherwise share one.
