--- a/packages/node/src/bamboonotch_node/control/_links.py
+++ b/packages/node/src/bamboonotch_node/control/_links.py
@@ -21,26 +21,17 @@
     PeerIdentity,
 )
 from bamboonotch_core.messages import Message
+from bamboonotch_node.channels import CHANNEL_OPTIONS
 from bamboonotch_node.clock import now_ms
 from bamboonotch_node.control._stream import ControlStream, LocalIdentity, parse_hello
 from bamboonotch_wire import bamboonotch_pb2 as pb
 from bamboonotch_wire.bamboonotch_pb2_grpc import NodeStub
-from bamboonotch_wire.control import MAX_FRAME_BYTES
 
-__all__ = ["CHANNEL_OPTIONS", "ControlLinks"]
+__all__ = ["ControlLinks"]
 
 # Longer than the reducer waits for a dial of a process that is not overloaded.
 DIAL_TIMEOUT_S = 3.0
 MAX_LINKS = 256
-CHANNEL_OPTIONS = (
-    # A redial must open a new connection: channels with equal targets would otherwise share one.
-    ("grpc.use_local_subchannel_pool", 1),
-    ("grpc.max_receive_message_length", MAX_FRAME_BYTES),
-    ("grpc.max_send_message_length", MAX_FRAME_BYTES),
-    # The reducer decides when to dial again.
-    ("grpc.enable_retries", 0),
-    ("grpc.enable_http_proxy", 0),
-)
 
 
 class ControlLinks:
--- a/packages/node/src/bamboonotch_node/control/_server.py
+++ b/packages/node/src/bamboonotch_node/control/_server.py
@@ -8,7 +8,8 @@
 
 import grpc
 
-from bamboonotch_node.control._links import CHANNEL_OPTIONS, ControlLinks
+from bamboonotch_node.channels import CHANNEL_OPTIONS
+from bamboonotch_node.control._links import ControlLinks
 from bamboonotch_wire.bamboonotch_pb2_grpc import NodeServicer, add_NodeServicer_to_server
 
 __all__ = ["PeerServer"]
--- a/packages/node/src/bamboonotch_node/forwarding/_pool.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_pool.py
@@ -9,28 +9,18 @@
 import grpc
 
 from bamboonotch_core.errors import MessageError
+from bamboonotch_node.channels import CHANNEL_OPTIONS
 from bamboonotch_node.forwarding._incoming import IncomingAttempt
 from bamboonotch_node.forwarding._stream import FrameStream, PeerName, StreamIdentity
 from bamboonotch_wire import bamboonotch_pb2 as pb
 from bamboonotch_wire import bamboonotch_pb2_grpc as pb_grpc
-from bamboonotch_wire.control import MAX_FRAME_BYTES
 
-__all__ = ["CHANNEL_OPTIONS", "OwnerStream", "StreamPool"]
+__all__ = ["OwnerStream", "StreamPool"]
 
 MAX_STREAMS = 1024
 IDLE_STREAM_S = 30.0
 IDLE_CHECK_S = 5.0
 
-CHANNEL_OPTIONS = (
-    # Channels to the same address otherwise share a connection, and a new stream would be put on
-    # the connection that went silent.
-    ("grpc.use_local_subchannel_pool", 1),
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.enable_retries", 0),
-    ("grpc.max_receive_message_length", MAX_FRAME_BYTES),
-    ("grpc.max_send_message_length", MAX_FRAME_BYTES),
-)
-
 
 class OwnerStream:
     """One stream to one owner, on a connection of its own.
--- a/packages/node/src/bamboonotch_node/http_ingress/__init__.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/__init__.py
@@ -2,6 +2,6 @@
 
 from bamboonotch_node.http_ingress._checks import BadRequestError
 from bamboonotch_node.http_ingress._ingress import HttpIngress
-from bamboonotch_node.http_ingress._request_path import RequestPath, monotonic_ms
+from bamboonotch_node.http_ingress._request_path import RequestPath
 
-__all__ = ["BadRequestError", "HttpIngress", "RequestPath", "monotonic_ms"]
+__all__ = ["BadRequestError", "HttpIngress", "RequestPath"]
--- a/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -10,6 +9,7 @@
 from bamboonotch_core.events import Event
 from bamboonotch_core.settings import NodeSettings
 from bamboonotch_node.backend import BackendClient
+from bamboonotch_node.clock import now_ms
 from bamboonotch_node.forwarding import (
     ForwardingClient,
     ForwardingServer,
@@ -17,17 +17,12 @@
 )
 from bamboonotch_node.http_ingress._ingress import HttpIngress
 
-__all__ = ["RequestPath", "monotonic_ms"]
+__all__ = ["RequestPath"]
 
 # A stream notices silence up to one check (500 ms) late.
 SILENCE_CHECK_MS = 500
 
 
-def monotonic_ms() -> float:
-    """Return the monotonic clock in milliseconds."""
-    return time.monotonic() * 1000
-
-
 class RequestPath:
     """Owns the HTTP ingress, the forward streams and the client of the backend server.
 
@@ -50,7 +45,7 @@
         running_version: Callable[[], int],
         load: Callable[[], int],
         report: Callable[[Report], None],
-        clock: Callable[[], float] = monotonic_ms,
+        clock: Callable[[], float] = now_ms,
     ) -> None:
         requests = settings.requests
         orphan_ms = requests.stream_silent_ms + SILENCE_CHECK_MS + requests.fence_timeout_ms
--- a/packages/node/tests/backend/test_exchange.py
+++ b/packages/node/tests/backend/test_exchange.py
@@ -13,7 +13,7 @@
     ResponseStart,
     _connections,
 )
-from bamboonotch_node.http_ingress import monotonic_ms
+from bamboonotch_node.clock import now_ms
 from bamboonotch_testing.backend_server import Mode
 from tests.forwarding.support import PathTest
 
@@ -69,7 +69,7 @@
         """Return a client of a backend server."""
         from twisted.internet import reactor
 
-        client = BackendClient(reactor, monotonic_ms, lambda: 0)
+        client = BackendClient(reactor, now_ms, lambda: 0)
         client.address = address
         self.closers.append(client.close)
         return client
@@ -84,7 +84,7 @@
             attempt_id="a/1",
             service="orders",
             request_class="c",
-            deadline_ms=monotonic_ms() + timeout_ms,
+            deadline_ms=now_ms() + timeout_ms,
             idempotent=False,
             idempotency_key="",
             attempt=0,
--- a/packages/testing/src/bamboonotch_testing/capacity/_estimates.py
+++ b/packages/testing/src/bamboonotch_testing/capacity/_estimates.py
@@ -16,7 +16,7 @@
 WATCHES_PER_S = 1 / 2.5
 RENEWALS_PER_S = 3 / 10
 SLOT_REREADS_PER_S = 1 / 10
-IDLE_KEEPER_LISTS_PER_S = 1 / 45
+STAND_IN_REREADERS_PER_REGION = 2
 DATA_CENTRES_OF_STORE_REGION = 3
 # The command calls this many nodes at a time.
 STATUS_CONCURRENCY = 32
@@ -181,7 +181,8 @@
     slots = sizes.DATA_CENTRES * sizes.SLOTS_PER_DATA_CENTRE
     readers = DATA_CENTRES_OF_STORE_REGION * sizes.SLOTS_PER_DATA_CENTRE
     watching = 2 * readers * WATCHES_PER_S
-    lists = slots * SLOT_REREADS_PER_S + (sizes.MEMBERS - slots) * IDLE_KEEPER_LISTS_PER_S
+    rereaders = slots + sizes.REGIONS * STAND_IN_REREADERS_PER_REGION
+    lists = rereaders * SLOT_REREADS_PER_S
     basis = "intervals in the code, not measured at this size"
     return [
         Estimate("store", "reads and watches", watching, sizes.STORE_READS_PER_S, "1/s", basis),
@@ -191,7 +192,7 @@
             lists,
             sizes.STORE_READS_PER_S,
             "1/s",
-            f"{basis}; the part of nodes without a slot grows with the fleet",
+            f"{basis}; grows with data centres, not with nodes",
         ),
         Estimate(
             "store",
