--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -102,7 +102,8 @@
             await stack.enter_async_context(server)
             await self._listen(identity.http_address, self._path.ingress.factory, stack)
             self._stack = stack.pop_all()
-        self.report(Report("node-started", (("incarnation", own_record_incarnation(self._state)),)))
+        incarnation = own_record(self._state.membership).incarnation
+        self.report(Report("node-started", (("incarnation", incarnation),)))
         self._tick()
         return self
 
@@ -297,11 +298,3 @@
     def _report_fault(self, name: str, subject: str, error: Exception) -> None:
         trace = "".join(traceback.format_exception(error)[-3:])
         self.report(Report(name, (("subject", subject), ("fault", trace))))
-
-
-def own_record_incarnation(state: NodeState) -> int:
-    """Return the incarnation in the node's own record.
-
-    :param state: the state.
-    """
-    return own_record(state.membership).incarnation
