--- a/packages/core/src/bamboonotch_core/admission/_capacity.py
+++ b/packages/core/src/bamboonotch_core/admission/_capacity.py
@@ -4,7 +4,7 @@
 
 from bamboonotch_core.admission._limit import ramp_slots, service_ms
 from bamboonotch_core.admission._state import AdmissionState
-from bamboonotch_core.configuration import Configuration
+from bamboonotch_core.configuration import Configuration, Rank
 
 __all__ = ["allowed_slots", "expected_wait_ms", "hard_slots", "is_draining", "total_queue_limit"]
 
@@ -56,15 +56,15 @@
     return max((item.queue_limit for item in configuration.classes.values()), default=0)
 
 
-def expected_wait_ms(state: AdmissionState, rank: tuple[int, int], slots: int) -> float:
+def expected_wait_ms(state: AdmissionState, rank: Rank, slots: int) -> float:
     """Estimate how long an arrival waits for a slot, from measured service times.
 
     :param state: the state.
-    :param rank: rank of the class of the arrival.
+    :param rank: rank of the arrival.
     :param slots: slots that may be held now.
     """
     work_ms = state.limit.mean_ms * (RESIDUAL_SHARE + len(state.claimed))
-    for name, queue in state.queues.items():
+    for (name, _), queue in state.queues.items():
         if queue.rank <= rank:
             work_ms += len(queue.entries) * service_ms(state.limit, name)
     return work_ms / max(1, slots)
--- a/packages/core/src/bamboonotch_core/admission/_dispatch.py
+++ b/packages/core/src/bamboonotch_core/admission/_dispatch.py
@@ -6,7 +6,7 @@
 from bamboonotch_core.admission._ending import refuse
 from bamboonotch_core.admission._queue import oldest_id, remove
 from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
-from bamboonotch_core.configuration import Configuration
+from bamboonotch_core.configuration import Configuration, Rank
 from bamboonotch_core.effects import Effect
 from bamboonotch_core.outcomes import RefusalReason
 from bamboonotch_core.request_effects import ClaimKey, DispatchToBackend
@@ -71,7 +71,7 @@
 
 def _next_queued(state: AdmissionState, may_claim: bool) -> LiveAttempt | None:
     best: LiveAttempt | None = None
-    best_order = ((0, 0), 0)
+    best_order: tuple[Rank, int] = ((0, 0, 0), 0)
     for queue in state.queues.values():
         attempt = state.live[oldest_id(queue)]
         if attempt.claim_key and not may_claim:
@@ -83,11 +83,11 @@
 
 
 def _take_from_queue(state: AdmissionState, attempt: LiveAttempt) -> AdmissionState:
-    queue = remove(state.queues[attempt.request_class], attempt.place)
+    queue = remove(state.queues[attempt.queue_key], attempt.place)
     queues = (
-        state.queues.set(attempt.request_class, queue)
+        state.queues.set(attempt.queue_key, queue)
         if queue.entries
-        else state.queues.delete(attempt.request_class)
+        else state.queues.delete(attempt.queue_key)
     )
     return replace_fields(state, queues=queues, queued=state.queued - 1)
 
--- a/packages/core/src/bamboonotch_core/admission/_ending.py
+++ b/packages/core/src/bamboonotch_core/admission/_ending.py
@@ -31,9 +31,9 @@
     queues = state.queues
     claimed = state.claimed
     if attempt.stage is Stage.QUEUED:
-        name = attempt.request_class
-        queue = remove(queues[name], attempt.place)
-        queues = queues.set(name, queue) if queue.entries else queues.delete(name)
+        key = attempt.queue_key
+        queue = remove(queues[key], attempt.place)
+        queues = queues.set(key, queue) if queue.entries else queues.delete(key)
     elif attempt.stage is Stage.CLAIMED:
         claimed = tuple(item for item in claimed if item != attempt.attempt_id)
     return replace_fields(
--- a/packages/core/src/bamboonotch_core/admission/_expiry.py
+++ b/packages/core/src/bamboonotch_core/admission/_expiry.py
@@ -75,7 +75,7 @@
     slots = max(1, allowed_slots(state, configuration, now_ms))
     waiting = [item for item in state.live.values() if item.stage is Stage.QUEUED]
     queues = state.queues
-    waiting.sort(key=lambda item: (queues[item.request_class].rank, item.ticket))
+    waiting.sort(key=lambda item: (queues[item.queue_key].rank, item.ticket))
     ahead_ms = state.limit.mean_ms * len(state.claimed)
     effects: list[Effect] = []
     for attempt in waiting:
--- a/packages/core/src/bamboonotch_core/admission/_offers.py
+++ b/packages/core/src/bamboonotch_core/admission/_offers.py
@@ -106,6 +106,7 @@
     attempt = LiveAttempt(
         attempt_id=event.attempt_id,
         request_class=event.request_class,
+        returning=event.returning,
         deadline_ms=event.deadline_ms,
         expires_ms=_expiry_ms(state, event, request_class),
         claim_key="" if event.idempotent else event.idempotency_key,
@@ -115,7 +116,8 @@
     free = state.slots_held < allowed and not state.queued and not state.claimed
     if free and not (attempt.claim_key and state.claims_pending >= allowed):
         return start(state, attempt, event.now_ms)
-    expected_ms = event.now_ms + expected_wait_ms(state, request_class.rank, allowed)
+    rank = request_class.rank(event.returning)
+    expected_ms = event.now_ms + expected_wait_ms(state, rank, allowed)
     if state.slots_held >= allowed and expected_ms >= attempt.expires_ms:
         reason = RefusalReason.TOO_LATE
         return refuse(state, event.attempt_id, BackendResult.NOT_RUN, reason, event.now_ms)
@@ -133,16 +135,16 @@
     configuration: Configuration,
     now_ms: float,
 ) -> Step:
-    queue = state.queues.get(request_class.name)
+    queue = state.queues.get(attempt.queue_key)
     if queue is None:
-        queue = ClassQueue(request_class.rank)
+        queue = ClassQueue(request_class.rank(attempt.returning))
     not_run = BackendResult.NOT_RUN
     if len(queue.entries) >= request_class.queue_limit:
         return refuse(state, attempt.attempt_id, not_run, RefusalReason.QUEUE_FULL, now_ms)
     before: Step = Transition(state)
     if state.queued >= total_queue_limit(configuration):
         lowest = _lowest_queue(state)
-        if lowest is None or lowest.rank <= request_class.rank:
+        if lowest is None or lowest.rank <= queue.rank:
             return refuse(state, attempt.attempt_id, not_run, RefusalReason.QUEUE_FULL, now_ms)
         before = refuse(state, newest_id(lowest), not_run, RefusalReason.EVICTED, now_ms)
     step = _push(before.state, attempt, queue, configuration, now_ms)
@@ -160,7 +162,7 @@
     attempt = replace_fields(attempt, place=place, ticket=state.next_ticket)
     state = replace_fields(
         state,
-        queues=state.queues.set(attempt.request_class, queue),
+        queues=state.queues.set(attempt.queue_key, queue),
         queued=state.queued + 1,
         next_ticket=state.next_ticket + 1,
         next_expiry_ms=min(state.next_expiry_ms, attempt.expires_ms),
--- a/packages/core/src/bamboonotch_core/admission/_queue.py
+++ b/packages/core/src/bamboonotch_core/admission/_queue.py
@@ -1,4 +1,4 @@
-"""Queue of one class: first in, first out, with removal from anywhere."""
+"""Queue of the attempts of one rank: first in, first out, with removal from anywhere."""
 
 from __future__ import annotations
 
@@ -6,23 +6,25 @@
 
 from immutables import Map
 
+from bamboonotch_core.configuration import Rank
+
 __all__ = ["ClassQueue", "newest_id", "oldest_id", "push", "remove"]
 
 
 @dataclass(frozen=True)
 class ClassQueue:
-    """Attempts of one class by place.
+    """Attempts of one class by place, those that return apart from the others.
 
     Places rise with each arrival; a removed attempt leaves a gap. The first and the last place are
     always taken unless the queue is empty.
 
-    :param rank: rank of the class, lowest first.
+    :param rank: rank of the attempts, lowest first.
     :param entries: attempt ids by place.
     :param first: place of the oldest attempt.
     :param end: place of the next arrival.
     """
 
-    rank: tuple[int, int]
+    rank: Rank
     entries: Map[int, str] = field(default_factory=Map)
     first: int = 0
     end: int = 0
--- a/packages/core/src/bamboonotch_core/admission/_state.py
+++ b/packages/core/src/bamboonotch_core/admission/_state.py
@@ -18,6 +18,7 @@
     "AdmissionState",
     "BackendServer",
     "LiveAttempt",
+    "QueueKey",
     "Stage",
     "is_idle",
     "make_admission_state",
@@ -25,6 +26,10 @@
 ]
 
 
+QueueKey = tuple[str, bool]
+"""Names a queue: a class, and whether its attempts return after a refusal."""
+
+
 class Stage(Enum):
     """How far a live attempt is."""
 
@@ -60,6 +65,7 @@
 
     :param attempt_id: the attempt.
     :param request_class: its class.
+    :param returning: whether its caller seems to have been refused before.
     :param deadline_ms: when the caller stops waiting.
     :param expires_ms: when it leaves the queue.
     :param claim_key: key to claim before dispatch, or empty.
@@ -74,6 +80,7 @@
 
     attempt_id: str
     request_class: str
+    returning: bool
     deadline_ms: float
     expires_ms: float
     claim_key: str
@@ -85,6 +92,11 @@
     holds_slot: bool = False
     aborted: bool = False
 
+    @property
+    def queue_key(self) -> QueueKey:
+        """Names the queue that it waits in."""
+        return self.request_class, self.returning
+
 
 @dataclass(frozen=True)
 class AdmissionState:
@@ -106,7 +118,7 @@
     :param next_ticket: ticket of the next attempt that is queued.
     :param next_expiry_ms: no live attempt expires before this time.
     :param live: attempts that have not ended, by id.
-    :param queues: queues by class.
+    :param queues: queues by class and whether their attempts return.
     :param claimed: ids of claimed attempts that wait for a slot, in order.
     :param limit: the adaptive concurrency limit.
     :param memory: attempts that ended or were fenced.
@@ -128,7 +140,7 @@
     next_ticket: int = 0
     next_expiry_ms: float = math.inf
     live: Map[str, LiveAttempt] = field(default_factory=Map)
-    queues: Map[str, ClassQueue] = field(default_factory=Map)
+    queues: Map[QueueKey, ClassQueue] = field(default_factory=Map)
     claimed: tuple[str, ...] = ()
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     memory: AttemptMemory = field(default_factory=AttemptMemory)
--- a/packages/core/src/bamboonotch_core/configuration/_document.py
+++ b/packages/core/src/bamboonotch_core/configuration/_document.py
@@ -15,6 +15,7 @@
     "EMPTY_DOCUMENT",
     "Configuration",
     "Document",
+    "Rank",
     "RequestClass",
     "Route",
     "Service",
@@ -26,6 +27,9 @@
 Document = Mapping[str, Any]
 """A configuration document as parsed JSON. Callers must not change it."""
 
+Rank = tuple[int, int, int]
+"""Order of service: priority, 1 for a request that returns, target in milliseconds."""
+
 EMPTY_DOCUMENT: Document = {"classes": {}, "services": {}, "routes": {}}
 """The document of version 0."""
 
@@ -48,14 +52,16 @@
     queue_timeout_ms: int
     target_ms: int = 0
 
-    @property
-    def rank(self) -> tuple[int, int]:
-        """Order in which classes are served, lowest first.
+    def rank(self, returning: bool) -> Rank:
+        """Return the place of a request in the order of service, lowest first.
+
+        Within one priority a request that returns after a refusal goes last, because it has spent
+        most of its target waiting. Among the others the shorter target goes first: such work is
+        short itself, and is mostly called by work that already runs elsewhere.
 
-        Among classes of one priority the shorter target goes first: such work is short itself, and
-        is mostly called by work that already runs elsewhere.
+        :param returning: whether the caller seems to have been refused before.
         """
-        return self.priority, self.target_ms
+        return self.priority, int(returning), self.target_ms
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/outcomes/_attempts.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_attempts.py
@@ -9,7 +9,7 @@
 from bamboonotch_core.outcomes._answers import answer
 from bamboonotch_core.outcomes._attempt_id import make_attempt_id
 from bamboonotch_core.outcomes._budget import take_token
-from bamboonotch_core.outcomes._reasons import AnswerReason
+from bamboonotch_core.outcomes._reasons import OVERLOAD_REASONS, AnswerReason
 from bamboonotch_core.outcomes._state import Attempt, OutcomeState, PendingRequest, Phase
 from bamboonotch_core.request_effects import ForwardAttempt, Outcome
 from bamboonotch_core.routing import (
@@ -81,6 +81,7 @@
         idempotent=request.idempotent,
         idempotency_key=request.idempotency_key,
         attempt=request.header_attempt,
+        returning=request.returning,
     )
     return Transition(state, (effect,))
 
@@ -98,7 +99,7 @@
     """
     state, candidates = _with_candidates(state, request.service, table)
     if candidates is None:
-        return finish(state, request, Outcome.NOT_RUN, reason or AnswerReason.NO_OWNER)
+        return finish(state, request, Outcome.NOT_RUN, reason or AnswerReason.NO_OWNER, now_ms)
     choice = choose_owner(
         candidates,
         state.views,
@@ -110,7 +111,7 @@
         state.works.get((request.service, request.request_class), UNKNOWN_WORK),
     )
     if choice.owner is None:
-        return finish(state, request, Outcome.NOT_RUN, reason or AnswerReason.NO_OWNER)
+        return finish(state, request, Outcome.NOT_RUN, reason or AnswerReason.NO_OWNER, now_ms)
     return _start_attempt(state, request, choice.owner, choice.seed, now_ms)
 
 
@@ -132,20 +133,36 @@
     return full.union(request.tried)
 
 
-def finish(state: OutcomeState, request: PendingRequest, outcome: Outcome, reason: str) -> Step:
+def _retry_after_ms(
+    state: OutcomeState, request: PendingRequest, reason: str, now_ms: float
+) -> int:
+    """Return when a repeat makes sense.
+
+    Overload lasts longer than the wait after any other refusal. A repeat within the same overload
+    would only take the place of a request that can still be answered in time.
+    """
+    settings = state.settings.requests
+    if reason not in OVERLOAD_REASONS:
+        return settings.retry_after_ms
+    left_ms = request.patience_ends_ms - now_ms
+    return max(settings.retry_after_ms, int(settings.overload_retry_share * left_ms))
+
+
+def finish(
+    state: OutcomeState, request: PendingRequest, outcome: Outcome, reason: str, now_ms: float
+) -> Step:
     """Give the final answer.
 
     :param state: the state, without the request.
     :param request: the request.
     :param outcome: what is known of the last attempt.
     :param reason: why.
+    :param now_ms: monotonic clock, in milliseconds.
     """
     if request.may_have_run:
         outcome = Outcome.UNKNOWN
-    return Transition(
-        state,
-        (answer(request.request_id, outcome, reason, state.settings.requests.retry_after_ms),),
-    )
+    retry_after_ms = _retry_after_ms(state, request, reason, now_ms)
+    return Transition(state, (answer(request.request_id, outcome, reason, retry_after_ms),))
 
 
 def end_attempt(
@@ -223,9 +240,9 @@
     :param reached_backend: whether the backend server saw the attempt.
     """
     if _deadline_passed(request, now_ms):
-        return finish(state, request, Outcome.NOT_RUN, AnswerReason.DEADLINE)
+        return finish(state, request, Outcome.NOT_RUN, AnswerReason.DEADLINE, now_ms)
     if len(request.tried) >= state.settings.requests.max_owners_tried:
-        return finish(state, request, Outcome.NOT_RUN, reason)
+        return finish(state, request, Outcome.NOT_RUN, reason, now_ms)
     if reached_backend:
         return _retry(state, request, table, now_ms, reason, Outcome.NOT_RUN)
     return forward(state, request, table, now_ms, reason)
@@ -248,10 +265,10 @@
     """
     request = replace_fields(request, may_have_run=True)
     if _deadline_passed(request, now_ms):
-        return finish(state, request, Outcome.UNKNOWN, AnswerReason.DEADLINE)
+        return finish(state, request, Outcome.UNKNOWN, AnswerReason.DEADLINE, now_ms)
     tried_enough = len(request.tried) >= state.settings.requests.max_owners_tried
     if not request.idempotent or tried_enough:
-        return finish(state, request, Outcome.UNKNOWN, reason)
+        return finish(state, request, Outcome.UNKNOWN, reason, now_ms)
     return _retry(state, request, table, now_ms, reason, Outcome.UNKNOWN)
 
 
@@ -266,12 +283,14 @@
     arrivals = request.arrivals + 1
     exhausted = request.max_attempts and arrivals >= request.max_attempts
     if request.arrived_attempt > 0 or exhausted:
-        return finish(state, request, outcome, reason)
+        return finish(state, request, outcome, reason, now_ms)
     paid = take_token(state, request.service)
     if paid is None:
-        return finish(state, request, outcome, reason)
+        return finish(state, request, outcome, reason, now_ms)
     retried = replace_fields(request, header_attempt=request.header_attempt + 1, arrivals=arrivals)
     step = forward(paid, retried, table, now_ms, reason)
     if request.request_id not in step.state.requests:
-        return finish(state, request, outcome, reason)  # no owner was left; the token is kept
+        return finish(
+            state, request, outcome, reason, now_ms
+        )  # no owner was left; the token is kept
     return step
--- a/packages/core/src/bamboonotch_core/outcomes/_expiry.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_expiry.py
@@ -55,7 +55,7 @@
 def _pass_deadline(state: OutcomeState, request: PendingRequest, now_ms: float) -> Step:
     """End a request whose caller stops waiting; its attempt was sent, so nothing proves not-run."""
     state, reports = end_attempt(state, request, _deadline_verdict(request, now_ms), now_ms)
-    step = finish(state, request, Outcome.UNKNOWN, AnswerReason.DEADLINE)
+    step = finish(state, request, Outcome.UNKNOWN, AnswerReason.DEADLINE, now_ms)
     answers = step.effects if request.phase is not Phase.RESPONDING else ()
     return Transition(step.state, (*cancel_effects(request), *answers, *reports))
 
--- a/packages/core/src/bamboonotch_core/outcomes/_reasons.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reasons.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["AnswerReason", "RefusalReason"]
+__all__ = ["BUSY_REASONS", "OVERLOAD_REASONS", "AnswerReason", "RefusalReason"]
 
 
 class RefusalReason:
@@ -29,6 +29,24 @@
     WRONG_SERVICE = "wrong-service"
 
 
+OVERLOAD_REASONS = frozenset(
+    {
+        RefusalReason.EVICTED,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.QUEUE_TIMEOUT,
+        RefusalReason.TOO_LATE,
+    }
+)
+"""Refusals because there is more work than slots."""
+
+BUSY_REASONS = OVERLOAD_REASONS | {
+    RefusalReason.BACKEND_NOT_RUN,
+    RefusalReason.BACKEND_REFUSING,
+    RefusalReason.BACKEND_UNREACHABLE,
+}
+"""Refusals after which another owner is better for a moment."""
+
+
 class AnswerReason:
     """Why the ingress answers a caller without a response of a backend server."""
 
--- a/packages/core/src/bamboonotch_core/outcomes/_reducer.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reducer.py
@@ -20,7 +20,8 @@
 from bamboonotch_core.outcomes._budget import earn_token
 from bamboonotch_core.outcomes._expiry import cancel_effects, expire, fence_effect
 from bamboonotch_core.outcomes._keys import check_key
-from bamboonotch_core.outcomes._reasons import AnswerReason, RefusalReason
+from bamboonotch_core.outcomes._patience import is_returning, note_timeout
+from bamboonotch_core.outcomes._reasons import BUSY_REASONS, AnswerReason, RefusalReason
 from bamboonotch_core.outcomes._state import OutcomeState, PendingRequest, Phase
 from bamboonotch_core.request_effects import Outcome, PassResponse
 from bamboonotch_core.request_events import (
@@ -66,17 +67,6 @@
         RefusalReason.WRONG_SERVICE,
     }
 )
-BUSY_REASONS = frozenset(
-    {
-        RefusalReason.BACKEND_NOT_RUN,
-        RefusalReason.BACKEND_REFUSING,
-        RefusalReason.BACKEND_UNREACHABLE,
-        RefusalReason.EVICTED,
-        RefusalReason.QUEUE_FULL,
-        RefusalReason.QUEUE_TIMEOUT,
-        RefusalReason.TOO_LATE,
-    }
-)
 
 Step = Transition[OutcomeState]
 
@@ -141,10 +131,25 @@
     if match.route.split:
         state = replace_fields(state, seed=next_seed(state.seed))
     service = _draw_service(match.route, state.seed)
-    request = _pending_request(event, match, service)
+    state, returning = _note_patience(state, event, match)
+    request = _pending_request(event, match, service, returning)
     return forward(state, request, table, event.now_ms, "")
 
 
+def _note_patience(
+    state: OutcomeState, event: RequestArrived, match: RouteMatch
+) -> tuple[OutcomeState, bool]:
+    """Learn how long the callers of a class wait, and tell whether this one returns."""
+    if event.timeout_ms is None:
+        return state, False
+    name = match.route.request_class
+    before = state.patience.get(name)
+    patience = note_timeout(before, event.timeout_ms, event.now_ms)
+    if patience is not before:
+        state = replace_fields(state, patience=state.patience.set(name, patience))
+    return state, is_returning(patience, event.timeout_ms)
+
+
 def _retry_after_ms(state: OutcomeState) -> int:
     return state.settings.requests.retry_after_ms
 
@@ -161,16 +166,19 @@
     return route.split[-1].service
 
 
-def _pending_request(event: RequestArrived, match: RouteMatch, service: str) -> PendingRequest:
+def _pending_request(
+    event: RequestArrived, match: RouteMatch, service: str, returning: bool
+) -> PendingRequest:
     route = match.route
-    timeout_ms: float = route.timeout_ms
-    if event.timeout_ms is not None:
-        timeout_ms = min(timeout_ms, event.timeout_ms)
+    patience_ms = route.timeout_ms if event.timeout_ms is None else event.timeout_ms
+    timeout_ms = min(route.timeout_ms, patience_ms)
     return PendingRequest(
         request_id=event.request_id,
         service=service,
         max_attempts=route.max_attempts,
-        rank=match.request_class.rank,
+        rank=match.request_class.rank(returning),
+        returning=returning,
+        patience_ends_ms=event.now_ms + patience_ms,
         request_class=route.request_class,
         idempotent=route.idempotent,
         idempotency_key=event.idempotency_key,
--- a/packages/core/src/bamboonotch_core/outcomes/_state.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_state.py
@@ -8,7 +8,9 @@
 
 from immutables import Map
 
+from bamboonotch_core.configuration import Rank
 from bamboonotch_core.outcomes._attempt_id import make_ingress_tag
+from bamboonotch_core.outcomes._patience import Patience
 from bamboonotch_core.routing import CandidateSet, Owner, OwnerView, WorkEstimate
 from bamboonotch_core.settings import NodeSettings
 
@@ -58,7 +60,9 @@
     :param tried: node ids of the owners tried.
     :param may_have_run: whether an earlier attempt may have run.
     :param max_attempts: backend servers that it may reach.
-    :param rank: rank of its class, lowest first.
+    :param rank: its place in the order of service, lowest first.
+    :param returning: whether its caller seems to have been refused before.
+    :param patience_ends_ms: when its caller gives up, which may be later than the deadline.
     :param arrivals: earlier attempts that may have reached a backend server.
     """
 
@@ -76,7 +80,9 @@
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     max_attempts: int = 0
-    rank: tuple[int, int] = (0, 0)
+    rank: Rank = (0, 0, 0)
+    returning: bool = False
+    patience_ends_ms: float = 0.0
     arrivals: int = 0
 
 
@@ -96,6 +102,7 @@
     :param candidates: owners used for each service.
     :param tokens: retry tokens of each service.
     :param works: what requests need, by service and class.
+    :param patience: how long callers wait, by class.
     """
 
     settings: NodeSettings
@@ -110,6 +117,7 @@
     candidates: Map[str, CandidateSet] = field(default_factory=Map)
     tokens: Map[str, float] = field(default_factory=Map)
     works: Map[tuple[str, str], WorkEstimate] = field(default_factory=Map)
+    patience: Map[str, Patience] = field(default_factory=Map)
 
 
 def make_outcome_state(settings: NodeSettings, seed: int) -> OutcomeState:
--- a/packages/core/src/bamboonotch_core/request_effects.py
+++ b/packages/core/src/bamboonotch_core/request_effects.py
@@ -45,6 +45,7 @@
     :param idempotent: whether the work may run more than once.
     :param idempotency_key: the caller's key, or empty.
     :param attempt: value for the ``Bamboonotch-Attempt`` header to the backend server.
+    :param returning: whether the caller seems to have been refused before.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     idempotent: bool
     idempotency_key: str
     attempt: int
+    returning: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/request_events.py
+++ b/packages/core/src/bamboonotch_core/request_events.py
@@ -183,6 +183,7 @@
     :param deadline_ms: when the caller stops waiting, on this node's monotonic clock.
     :param idempotent: whether the work may run more than once.
     :param idempotency_key: the caller's key, or empty.
+    :param returning: whether the caller seems to have been refused before.
     """
 
     request_id: str
@@ -192,6 +193,7 @@
     deadline_ms: float
     idempotent: bool
     idempotency_key: str
+    returning: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/routing/_owner_view.py
+++ b/packages/core/src/bamboonotch_core/routing/_owner_view.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from bamboonotch_core.configuration import Rank
 from bamboonotch_core.routing._candidates import CandidateSet
 from bamboonotch_core.routing._replace import replace_fields
 from bamboonotch_core.routing._table import Owner
@@ -80,7 +81,7 @@
     recovered_ms: float = 0.0
     avoid_until_ms: float = 0.0
     busy_until_ms: float = 0.0
-    busy_rank: tuple[int, int] = (0, 0)
+    busy_rank: Rank = (0, 0, 0)
     slowness: float = 1.0
     slowness_ms: float = 0.0
 
@@ -186,13 +187,11 @@
     return replace_fields(view, avoid_until_ms=max(view.avoid_until_ms, now_ms + avoid_ms))
 
 
-def record_no_room(
-    view: OwnerView, rank: tuple[int, int], busy_ms: float, now_ms: float
-) -> OwnerView:
+def record_no_room(view: OwnerView, rank: Rank, busy_ms: float, now_ms: float) -> OwnerView:
     """Record that the owner had no room for work of a rank.
 
     :param view: the view.
-    :param rank: rank of the class of the work.
+    :param rank: rank of the work.
     :param busy_ms: how long that holds, in milliseconds.
     :param now_ms: monotonic clock, in milliseconds.
     """
@@ -201,11 +200,11 @@
     return replace_fields(view, busy_until_ms=now_ms + busy_ms, busy_rank=rank)
 
 
-def has_no_room(view: OwnerView, rank: tuple[int, int], now_ms: float) -> bool:
+def has_no_room(view: OwnerView, rank: Rank, now_ms: float) -> bool:
     """Tell whether the owner lately refused work that is served before this for lack of room.
 
     :param view: the view.
-    :param rank: rank of the class of the work.
+    :param rank: rank of the work.
     :param now_ms: monotonic clock, in milliseconds.
     """
     return now_ms < view.busy_until_ms and rank >= view.busy_rank
--- a/packages/core/src/bamboonotch_core/settings.py
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -159,6 +159,8 @@
     :param fence_timeout_ms: longest wait for the answer to a fence, in milliseconds.
     :param stream_silent_ms: silence after which a forward stream is replaced, in milliseconds.
     :param retry_after_ms: wait that callers are told after a refusal, in milliseconds.
+    :param overload_retry_share: the same after a refusal for overload, as a share of the time that
+        the caller has left, if that is longer.
     :param shutdown_ms: longest wait for work in flight at shutdown, in milliseconds.
     :param shutdown_spread_ms: how long callers may go on sending to a node that shuts down, until
         all of them know, in milliseconds.
@@ -177,6 +179,7 @@
     fence_timeout_ms: int = 1000
     stream_silent_ms: int = 1500
     retry_after_ms: int = 1000
+    overload_retry_share: float = 0.0
     shutdown_ms: int = 30_000
     shutdown_spread_ms: int = 1500
 
--- a/packages/core/tests/admission/test_targets.py
+++ b/packages/core/tests/admission/test_targets.py
@@ -44,12 +44,14 @@
         self.state = step.state
         return step.effects
 
-    def offer(self, number: int, name: str, now_ms: float) -> tuple[Effect, ...]:
+    def offer(
+        self, number: int, name: str, now_ms: float, returning: bool = False
+    ) -> tuple[Effect, ...]:
         """Offer work of a class."""
         attempt_id = make_attempt_id(f"r{number}", "tag", number, 5)
         self.classes[attempt_id] = name
         event = WorkOffered(
-            now_ms, f"r{number}", attempt_id, "orders", name, now_ms + 1500.0, True, ""
+            now_ms, f"r{number}", attempt_id, "orders", name, now_ms + 1500.0, True, "", returning
         )
         return self.send(event)
 
@@ -68,6 +70,20 @@
         started = [item.attempt_id for item in effects if isinstance(item, DispatchToBackend)]
         self.assertEqual([owner.classes[item] for item in started], ["check"])
 
+    def test_returning_work_goes_last(self) -> None:
+        """Guards against repeats that make requests miss their target which could still meet it."""
+        owner = Owner()
+        for number in range(SLOTS):
+            owner.offer(number, "order", 0.0)
+        owner.offer(90, "order", 1.0, returning=True)
+        owner.offer(91, "order", 2.0)
+        running = list(owner.classes)[:2]
+        started = []
+        for number, attempt_id in enumerate(running):
+            effects = owner.send(BackendFinished(3.0 + number, attempt_id, BackendResult.DONE, 3.0))
+            started += [item.attempt_id for item in effects if isinstance(item, DispatchToBackend)]
+        self.assertEqual(started, [list(owner.classes)[-1], list(owner.classes)[-2]])
+
 
 class OverloadTest(unittest.TestCase):
     """What is served while more arrives than fits."""
--- a/packages/node/src/bamboonotch_node/backend/_work.py
+++ b/packages/node/src/bamboonotch_node/backend/_work.py
@@ -56,6 +56,7 @@
     :param idempotency_key: the caller's key, or empty.
     :param attempt: value for the ``Bamboonotch-Attempt`` header.
     :param request: the caller's request.
+    :param returning: whether the caller seems to have been refused before.
     """
 
     attempt_id: str
@@ -66,6 +67,7 @@
     idempotency_key: str
     attempt: int
     request: CallerRequest
+    returning: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/bamboonotch_node/forwarding/_client.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_client.py
@@ -162,6 +162,7 @@
             idempotency_key=effect.idempotency_key,
             attempt=effect.attempt,
             request=request,
+            returning=effect.returning,
         )
         self._owner.offer(work, attempt, replayable=False)
 
--- a/packages/node/src/bamboonotch_node/forwarding/_frames.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_frames.py
@@ -110,6 +110,7 @@
             headers=_encode_headers(request.headers),
             body=body,
             last=last,
+            returning=effect.returning,
         )
     )
 
--- a/packages/node/src/bamboonotch_node/forwarding/_owner.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_owner.py
@@ -105,6 +105,7 @@
                 deadline_ms=work.deadline_ms,
                 idempotent=work.idempotent,
                 idempotency_key=work.idempotency_key,
+                returning=work.returning,
             )
         )
 
--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -246,6 +246,7 @@
             idempotency_key=head.idempotency_key,
             attempt=head.attempt,
             request=request,
+            returning=head.returning,
         )
         self._server.owner.offer(work, self._new_sink(head.attempt_id), replayable=True)
 
--- a/packages/node/src/bamboonotch_node/settings/_reference.py
+++ b/packages/node/src/bamboonotch_node/settings/_reference.py
@@ -46,6 +46,7 @@
     "membership.silent_after_ms": (200, 120_000),
     "requests.retry_budget_ratio": (0.0, 1.0),
     "requests.retry_budget_initial": (0.0, 5.0),
+    "requests.overload_retry_share": (0.0, 1.0),
     "admission.latency_factor": (1.0, 100.0),
 }
 
