Apply the limits of a configuration to callers

Cause: the limits that a configuration names for callers were read by nobody. A node refused bodies over its own 4 MiB with 413 where the operator allows 64 MiB, kept idle connections for 60 s whatever was allowed, and let a caller take any time for the head of a request. Ruled out: raising the settings in deploy/node.ini, because operators change limits with a version. Change: a document may have limits, which go before the settings of the node; an unfinished head is answered 408 after its time. Kept connections take over the limits of a newer version after each response.

--- a/packages/core/src/bamboonotch_core/configuration/__init__.py
+++ b/packages/core/src/bamboonotch_core/configuration/__init__.py
@@ -4,6 +4,7 @@
 from bamboonotch_core.configuration._document import (
     EMPTY_CONFIGURATION,
     EMPTY_DOCUMENT,
+    CallerLimits,
     Configuration,
     Document,
     Rank,
@@ -29,6 +30,7 @@
 __all__ = [
     "EMPTY_CONFIGURATION",
     "EMPTY_DOCUMENT",
+    "CallerLimits",
     "Configuration",
     "Difference",
     "Document",
--- a/packages/core/src/bamboonotch_core/configuration/_document.py
+++ b/packages/core/src/bamboonotch_core/configuration/_document.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 import json
 from collections.abc import Mapping
@@ -10,9 +11,12 @@
 
 from immutables import Map
 
+from bamboonotch_core.settings import RequestSettings
+
 __all__ = [
     "EMPTY_CONFIGURATION",
     "EMPTY_DOCUMENT",
+    "CallerLimits",
     "Configuration",
     "Document",
     "Rank",
@@ -128,6 +132,30 @@
         return (self.service,)
 
 
+@dataclass(frozen=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take; 0 for the node's setting.
+
+    :param max_header_bytes: largest head of a request, in bytes.
+    :param max_body_bytes: largest request body, in bytes.
+    :param header_timeout_ms: longest time until the head of a request is complete, in milliseconds.
+    :param idle_timeout_ms: how long a connection without a request is kept, in milliseconds.
+    """
+
+    max_header_bytes: int = 0
+    max_body_bytes: int = 0
+    header_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
+
+    def apply(self, settings: RequestSettings) -> RequestSettings:
+        """Return a node's settings with these limits in place of its own.
+
+        :param settings: section ``[requests]`` of the node.
+        """
+        changes = {name: value for name, value in dataclasses.asdict(self).items() if value}
+        return dataclasses.replace(settings, **changes)
+
+
 @dataclass(frozen=True)
 class Configuration:
     """A validated configuration document.
@@ -135,11 +163,13 @@
     :param classes: request classes by name.
     :param services: services by name.
     :param routes: routes by name.
+    :param limits: limits of callers.
     """
 
     classes: Map[str, RequestClass]
     services: Map[str, Service]
     routes: Map[str, Route]
+    limits: CallerLimits = CallerLimits()
 
 
 EMPTY_CONFIGURATION = Configuration(Map(), Map(), Map())
--- a/packages/core/src/bamboonotch_core/configuration/_validation.py
+++ b/packages/core/src/bamboonotch_core/configuration/_validation.py
@@ -13,6 +13,7 @@
 from immutables import Map
 
 from bamboonotch_core.configuration._document import (
+    CallerLimits,
     Configuration,
     Document,
     RequestClass,
@@ -36,9 +37,12 @@
 MAX_ATTEMPTS = 100
 MAX_WEIGHT = 1_000_000
 MAX_SPLIT_PARTS = 32
+MIN_LIMIT_BYTES = 1024
+MAX_HEADER_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 1024 * 1024 * 1024
 
 _Part = TypeVar("_Part")
-_TOP_LEVEL = ("classes", "services", "routes")
+_TOP_LEVEL = ("classes", "services", "routes", "limits")
 
 
 class _Fields:
@@ -65,6 +69,11 @@
             return minimum
         return value
 
+    def limit(self, field: str, minimum: int, maximum: int) -> int:
+        """Read an integer within bounds; 0 when it is absent."""
+        self._known.add(field)
+        return self.integer(field, minimum, maximum) if self.has(field) else 0
+
     def boolean(self, field: str) -> bool:
         """Read a boolean."""
         self._known.add(field)
@@ -166,6 +175,20 @@
     )
 
 
+def _parse_limits(document: Document, faults: list[ConfigurationFault]) -> CallerLimits:
+    if "limits" not in document:
+        return CallerLimits()
+    fields = _Fields("/limits", document["limits"], faults)
+    limits = CallerLimits(
+        max_header_bytes=fields.limit("max_header_bytes", MIN_LIMIT_BYTES, MAX_HEADER_BYTES),
+        max_body_bytes=fields.limit("max_body_bytes", MIN_LIMIT_BYTES, MAX_BODY_BYTES),
+        header_timeout_ms=fields.limit("header_timeout_ms", 1, MAX_DURATION_MS),
+        idle_timeout_ms=fields.limit("idle_timeout_ms", 1, MAX_DURATION_MS),
+    )
+    fields.finish()
+    return limits
+
+
 def _parse_section(
     document: Document,
     section: str,
@@ -229,6 +252,7 @@
         classes=_parse_section(document, "classes", _parse_class, faults),
         services=_parse_section(document, "services", _parse_service, faults),
         routes=_parse_section(document, "routes", _parse_route, faults),
+        limits=_parse_limits(document, faults),
     )
     _check_references(configuration, faults)
     _check_overlaps(configuration, faults)
--- a/packages/core/src/bamboonotch_core/settings.py
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -149,6 +149,8 @@
     :param max_requests: requests in progress at most.
     :param max_body_bytes: largest request body, in bytes.
     :param max_header_bytes: largest sum of header names and values, in bytes.
+    :param header_timeout_ms: longest time until the head of a request is complete, in milliseconds.
+    :param idle_timeout_ms: how long a connection without a request is kept, in milliseconds.
     :param max_key_characters: longest request id or idempotency key, in characters.
     :param owners_per_service: owners of one service used at most.
     :param max_owners_tried: owners tried after proven refusals.
@@ -169,6 +171,8 @@
     max_requests: int = 10_000
     max_body_bytes: int = 4 * 1024 * 1024
     max_header_bytes: int = 16 * 1024
+    header_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 60_000
     max_key_characters: int = 128
     owners_per_service: int = 12
     max_owners_tried: int = 3
--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -10,7 +10,7 @@
 from bamboonotch_core.effects import Report
 from bamboonotch_core.errors import MessageError
 from bamboonotch_core.request_events import FenceState
-from bamboonotch_core.settings import NodeSettings
+from bamboonotch_core.settings import NodeSettings, RequestSettings
 from bamboonotch_node.backend import FlowControl, OfferedWork, ResponseStart
 from bamboonotch_node.forwarding._frames import (
     MAX_ID_CHARACTERS,
@@ -192,7 +192,7 @@
         if partial is None:
             return
         size_bytes = len(chunk.data)
-        if partial.size_bytes + size_bytes > self._server.max_body_bytes:
+        if partial.size_bytes + size_bytes > self._server.request_settings().max_body_bytes:
             self._drop_partial(attempt_id)
             self._refuse(attempt_id, "body-too-large")
             return
@@ -233,7 +233,7 @@
 
     def _offer(self, head: pb.RequestHead, body: bytes) -> None:
         try:
-            request = decode_request(head, body, self._server.settings.requests)
+            request = decode_request(head, body, self._server.request_settings())
         except MessageError as error:
             self._refuse(head.attempt_id, "malformed-attempt", str(error))
             return
@@ -294,6 +294,7 @@
     :param owner: the owner's side of this node.
     :param clock: monotonic clock in milliseconds.
     :param report: takes reports of faults.
+    :param request_settings: returns the settings in force for requests.
     """
 
     def __init__(
@@ -303,13 +304,13 @@
         owner: OwnerSide,
         clock: Callable[[], float],
         report: Callable[[Report], None],
+        request_settings: Callable[[], RequestSettings],
     ) -> None:
-        self.settings = settings
+        self.request_settings = request_settings
         self.owner = owner
         self.clock = clock
         self.report = report
         self.max_attempts = settings.requests.max_requests
-        self.max_body_bytes = settings.requests.max_body_bytes
         self._body_bytes = 0
         self._streams: set[FrameStream] = set()
         self._identity = StreamIdentity(
--- a/packages/node/src/bamboonotch_node/http_ingress/_channel.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_channel.py
@@ -15,7 +15,6 @@
 
 __all__ = ["CallerChannel", "CallerFactory", "CallerHttpRequest"]
 
-IDLE_CONNECTION_S = 60
 # How long a refused caller may go on sending. Closing at once would reset the connection, and the
 # caller would not see the answer.
 LINGER_S = 2.0
@@ -115,19 +114,55 @@
         self.write_paused = False
         self._refused = False
         self._linger: asyncio.TimerHandle | None = None
+        self._head_timer: asyncio.TimerHandle | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Apply the bound on headers."""
+        """Apply the limits of callers."""
+        self._apply_limits()
         super().connectionMade()
-        self.totalHeadersSize = self.factory.ingress.settings.max_header_bytes
         self.factory.connections.add(self)
 
+    def _apply_limits(self) -> None:
+        settings = self.factory.ingress.settings
+        self.totalHeadersSize = settings.max_header_bytes
+        self.timeOut = settings.idle_timeout_ms / 1000
+
+    def requestDone(self, request: Any) -> None:  # noqa: N802
+        """Apply the limits anew, which may be those of a newer configuration.
+
+        :param request: the request that was answered.
+        """
+        self._apply_limits()
+        self._savedTimeOut = self.timeOut
+        super().requestDone(request)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read, and bound the time that the head of a request takes.
+
+        :param data: bytes from the caller.
+        """
+        super().dataReceived(data)
+        unfinished = self.line_mode and not self._handlingRequest
+        unfinished = unfinished and bool(self._receivedHeaderSize or self._buffer)
+        if unfinished and self._head_timer is None and not self._refused:
+            timeout_s = self.factory.ingress.settings.header_timeout_ms / 1000
+            loop = asyncio.get_running_loop()
+            self._head_timer = loop.call_later(timeout_s, self.refuse, 408, "header-timeout")
+        elif not unfinished:
+            self._stop_head_timer()
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Stop waiting for a refused caller.
 
         :param reason: why.
         """
         self.factory.connection_closed(self)
+        self._stop_head_timer()
         if self._linger is not None:
             self._linger.cancel()
         super().connectionLost(reason)
@@ -167,6 +202,7 @@
         if self._refused:
             return
         self._refused = True
+        self._stop_head_timer()
         self.factory.ingress.input_refused(status, reason)
         self.setTimeout(None)
         self._linger = asyncio.get_running_loop().call_later(
@@ -195,7 +231,7 @@
     protocol = CallerChannel
 
     def __init__(self, ingress: HttpIngress, reactor: Any) -> None:
-        super().__init__(timeout=IDLE_CONNECTION_S, reactor=reactor)
+        super().__init__(reactor=reactor)
         self.ingress = ingress
         self.connections: set[CallerChannel] = set()
         self._all_closed: asyncio.Future[None] | None = None
--- a/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
@@ -13,7 +13,7 @@
 from bamboonotch_core.events import Event
 from bamboonotch_core.request_effects import Outcome, PassResponse, RespondToCaller
 from bamboonotch_core.request_events import CallerGone, RequestArrived, ResponseFinished
-from bamboonotch_core.settings import NodeSettings
+from bamboonotch_core.settings import NodeSettings, RequestSettings
 from bamboonotch_node.backend import CallerRequest, HeaderList
 from bamboonotch_node.dialect import HttpDialect
 from bamboonotch_node.forwarding import EffectHandlers, ForwardingClient
@@ -62,6 +62,7 @@
     :param running_version: returns the version of the configuration that this node runs.
     :param report: takes reports of faults.
     :param dialect: names and rules of the HTTP spoken.
+    :param request_settings: returns the settings in force for requests.
     """
 
     def __init__(
@@ -74,10 +75,11 @@
         running_version: Callable[[], int],
         report: Callable[[Report], None],
         dialect: HttpDialect,
+        request_settings: Callable[[], RequestSettings],
     ) -> None:
         self._dialect = dialect
+        self._request_settings = request_settings
         self.service = settings.identity.service
-        self.settings = settings.requests
         self.factory = CallerFactory(self, reactor)
         self.forwarding: ForwardingClient | None = None
         self._id_prefix = f"{settings.identity.node_id}-{incarnation:x}-"
@@ -93,6 +95,11 @@
     def __len__(self) -> int:
         return len(self._pending)
 
+    @property
+    def settings(self) -> RequestSettings:
+        """The settings in force for requests."""
+        return self._request_settings()
+
     def find_request(self, request_id: str) -> CallerRequest | None:
         """Return a request whose caller waits.
 
--- a/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -7,7 +7,7 @@
 
 from bamboonotch_core.effects import Effect, Report
 from bamboonotch_core.events import Event
-from bamboonotch_core.settings import NodeSettings
+from bamboonotch_core.settings import NodeSettings, RequestSettings
 from bamboonotch_node.backend import BackendClient
 from bamboonotch_node.clock import now_ms
 from bamboonotch_node.dialect import OWN_DIALECT, HttpDialect
@@ -36,6 +36,8 @@
     :param report: takes reports of faults.
     :param clock: monotonic clock in milliseconds.
     :param dialect: names and rules of the HTTP spoken.
+    :param request_settings: returns the settings in force for requests; those of the node if not
+        given.
     """
 
     def __init__(
@@ -49,14 +51,24 @@
         report: Callable[[Report], None],
         clock: Callable[[], float] = now_ms,
         dialect: HttpDialect = OWN_DIALECT,
+        request_settings: Callable[[], RequestSettings] | None = None,
     ) -> None:
         requests = settings.requests
+        in_force = request_settings or (lambda: requests)
         orphan_ms = requests.stream_silent_ms + SILENCE_CHECK_MS + requests.fence_timeout_ms
         self.backend = BackendClient(reactor, clock, load, dialect)
         self.owner = OwnerSide(self.backend, dispatch, clock, orphan_ms)
-        self.server = ForwardingServer(settings, incarnation, self.owner, clock, report)
+        self.server = ForwardingServer(settings, incarnation, self.owner, clock, report, in_force)
         self.ingress = HttpIngress(
-            settings, incarnation, reactor, dispatch, clock, running_version, report, dialect
+            settings,
+            incarnation,
+            reactor,
+            dispatch,
+            clock,
+            running_version,
+            report,
+            dialect,
+            in_force,
         )
         self.client = ForwardingClient(
             settings,
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -12,6 +12,7 @@
 from types import TracebackType
 from typing import Any
 
+from bamboonotch_core.configuration import CallerLimits
 from bamboonotch_core.effects import (
     CloseLink,
     Effect,
@@ -24,7 +25,7 @@
 from bamboonotch_core.membership import backend_server_address, own_record
 from bamboonotch_core.reducer import reduce
 from bamboonotch_core.request_effects import ForwardAttempt, SendFence
-from bamboonotch_core.settings import NodeSettings
+from bamboonotch_core.settings import NodeSettings, RequestSettings
 from bamboonotch_core.state import NodeState, make_node_state
 from bamboonotch_node.admin import make_admin_site
 from bamboonotch_node.backend import ResponseStart
@@ -72,6 +73,8 @@
         self._queue: deque[Event] = deque()
         self._draining_queue = False
         self._stopped = asyncio.Event()
+        self._limits = CallerLimits()
+        self._request_settings = settings.requests
         self._history = EventHistory()
         self._metrics = NodeMetrics()
         self._translation = dict(settings.address_translation)
@@ -87,6 +90,7 @@
             self.report,
             now_ms,
             surroundings.dialect,
+            self._find_request_settings,
         )
         self._observer = RequestObserver(
             self._metrics,
@@ -317,6 +321,14 @@
         if accepted_ms is not None:
             self._metrics.observe_convergence(max(0.0, unix_ms() - accepted_ms))
 
+    def _find_request_settings(self) -> RequestSettings:
+        """Return the settings of requests with the limits of the running configuration."""
+        limits = self._state.distribution.running_configuration.limits
+        if limits is not self._limits:
+            self._limits = limits
+            self._request_settings = limits.apply(self._settings.requests)
+        return self._request_settings
+
     def _find_tenant(self, service: str) -> str:
         found = self._state.distribution.running_configuration.services.get(service)
         return UNKNOWN_TENANT if found is None else found.tenant
--- a/packages/node/tests/forwarding/support.py
+++ b/packages/node/tests/forwarding/support.py
@@ -14,6 +14,7 @@
 
 from bamboonotch_core import request_effects as effects
 from bamboonotch_core import request_events as events
+from bamboonotch_core.configuration import CallerLimits
 from bamboonotch_core.effects import Report
 from bamboonotch_core.events import Event
 from bamboonotch_core.settings import (
@@ -121,6 +122,7 @@
         self.incarnation = incarnation
         self.owner = (node_id, "")
         self.hold_work = False
+        self.limits = CallerLimits()
         self.events: list[Event] = []
         self.reports: list[Report] = []
         self.work: dict[str, str] = {}
@@ -138,6 +140,7 @@
             running_version=lambda: 7,
             load=lambda: 3,
             report=self.reports.append,
+            request_settings=lambda: self.limits.apply(self.settings.requests),
         )
         self.path.backend.address = self.backend
         server = self.path.server
--- a/packages/node/tests/http_ingress/test_ingress.py
+++ b/packages/node/tests/http_ingress/test_ingress.py
@@ -6,6 +6,7 @@
 import json
 
 from bamboonotch_core import request_events as events
+from bamboonotch_core.configuration import CallerLimits
 from bamboonotch_node.http_ingress import _ingress
 from bamboonotch_testing.backend_server import Mode
 from tests.forwarding.support import PathTest, get
@@ -74,6 +75,43 @@
 
         self.run_async(main)
 
+    def test_slow_head(self) -> None:
+        """Guards against a caller that holds a connection with half a request."""
+
+        async def main() -> None:
+            await self.start_mesh(header_timeout_ms=50)
+            for data in (b"GET", b"GET / HTTP/1.1\r\n", b"GET / HTTP/1.1\r\nHost: a"):
+                self.assert_refused(await self.exchange(data), 408, "header-timeout")
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.node.http_port)
+            writer.write(b"GET / HT")
+            await asyncio.sleep(0)
+            writer.write(b"TP/1.1\r\nHost: a\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertTrue(head.startswith(b"HTTP/1.1 200"))
+            writer.close()
+
+        self.run_async(main)
+
+    def test_limits_change_while_a_connection_is_open(self) -> None:
+        """Guards against a kept connection that holds on to the limits of an older version."""
+
+        async def main() -> None:
+            await self.start_mesh(idle_timeout_ms=30_000, max_body_bytes=2000)
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.node.http_port)
+            body = b"x" * 3000
+            request = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+            writer.write(request % 0)
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertTrue(head.startswith(b"HTTP/1.1 200"))
+            self.node.limits = CallerLimits(max_body_bytes=4000, idle_timeout_ms=50)
+            writer.write(request % len(body) + body)
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertIn(b"HTTP/1.1 200", head)
+            await reader.read()
+            writer.close()
+
+        self.run_async(main)
+
     def test_malformed_mesh_headers(self) -> None:
         """Guards against mesh headers out of their bounds that reach the decisions."""
 
