Bound the wait in a queue by a share of the target

Cause: with the target as the only bound, queues under overload were as long as the target allows, so what was served was late whenever its service time varied, and what was refused had waited 390 ms. Change: work leaves its queue after 0.3 of its target, 100 ms at the least.

--- a/packages/core/src/bamboonotch_core/admission/_offers.py
+++ b/packages/core/src/bamboonotch_core/admission/_offers.py
@@ -26,6 +26,10 @@
 EXPIRY_MARGIN_SHARE = 0.05
 TYPICAL_FACTOR = 1.2  # service times vary, and the way to the caller takes time as well
 MIN_WAIT_SHARE = 0.1  # of the target, for classes that hardly meet it without any wait
+# A queue of this share of the target keeps all slots busy. A longer one only delays what is served
+# and what is refused.
+MAX_WAIT_SHARE = 0.3
+LONG_WAIT_MS = 100.0  # shorter waits are not cut, or a burst of short calls would be refused
 MAX_EXPIRY_MARGIN_MS = 100.0  # one tick, after which the ingress can only answer unknown
 
 Step = Transition[AdmissionState]
@@ -73,7 +77,9 @@
     if request_class.target_ms:
         typical_ms = TYPICAL_FACTOR * service_ms(state.limit, request_class.name)
         shortest_ms = MIN_WAIT_SHARE * request_class.target_ms
-        wait_ms = min(wait_ms, max(shortest_ms, request_class.target_ms - typical_ms))
+        longest_ms = max(LONG_WAIT_MS, MAX_WAIT_SHARE * request_class.target_ms)
+        in_time_ms = max(shortest_ms, request_class.target_ms - typical_ms)
+        wait_ms = min(wait_ms, longest_ms, in_time_ms)
     return min(event.now_ms + wait_ms, event.deadline_ms - margin_ms)
 
 
--- a/packages/core/tests/admission/test_targets.py
+++ b/packages/core/tests/admission/test_targets.py
@@ -122,6 +122,20 @@
         self.assertGreater(refused, 400)
         self.assertGreater(in_target / served, 0.9)
 
+    def test_refusals_come_early(self) -> None:
+        """Guards against a caller that waits for most of its target before it is refused."""
+        owner = Owner()
+        for number in range(SLOTS):
+            owner.offer(number, "order", 0.0)
+        owner.offer(90, "order", 0.0)
+        owner.offer(91, "check", 0.0)
+        refused = {}
+        for now_ms in range(10, 500, 10):
+            for effect in owner.send(Tick(float(now_ms))):
+                if isinstance(effect, RefuseWork):
+                    refused[owner.classes[effect.attempt_id]] = now_ms
+        self.assertEqual(refused, {"check": 100, "order": 150})
+
     @staticmethod
     def _start(
         owner: Owner,
