Work for the backend server until shortly before a process ends

Cause: a node refused work for its backend server from the SIGTERM on, although it stays for 2.7 s until all callers know that it leaves. Ruled out: backend servers that leave (they were ready), and the store, which was away meanwhile (members and versions stayed as they were). A new test of the reducer failed before.

--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -189,22 +189,32 @@
 def _(event: ShutdownRequested, state: NodeState) -> NodeTransition:
     if state.shutdown_deadline_ms is not None:
         return Transition(state)
-    # Outcomes are told later: work in flight at the backend server may call other services.
-    control = _reduce_control(event, state)
-    owner = _reduce_owner(event, control.state)
-    transition = Transition(owner.state, control.effects + owner.effects)
     requests = state.membership.settings.requests
     state = replace(
-        transition.state,
+        state,
         shutdown_deadline_ms=event.now_ms + requests.shutdown_ms,
+        shutdown_drain_ms=event.now_ms + requests.shutdown_serve_ms,
         shutdown_idle_after_ms=event.now_ms + requests.shutdown_spread_ms,
     )
-    return Transition(state, transition.effects)
+    return _drain_when_due(state, event.now_ms)
+
+
+def _drain_when_due(state: NodeState, now_ms: float) -> NodeTransition:
+    """Let a process that shuts down stop taking work for its backend server, once it is time."""
+    if state.shutdown_drain_ms is None or now_ms < state.shutdown_drain_ms:
+        return Transition(state)
+    # Outcomes are told later: work in flight at the backend server may call other services.
+    event = ShutdownRequested(now_ms)
+    control = _reduce_control(event, replace(state, shutdown_drain_ms=None))
+    owner = _reduce_owner(event, control.state)
+    return Transition(owner.state, control.effects + owner.effects)
 
 
 @_reduce_event.register
 def _(event: Tick, state: NodeState) -> NodeTransition:
     transition = _compete(_reduce_all(event, state))
+    draining = _drain_when_due(transition.state, event.now_ms)
+    transition = Transition(draining.state, transition.effects + draining.effects)
     if _must_refuse_callers(transition.state, event.now_ms):
         refusing = _reduce_ingress(ShutdownRequested(event.now_ms), transition.state)
         transition = Transition(refusing.state, transition.effects + refusing.effects)
--- a/packages/core/src/bamboonotch_core/settings.py
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -164,6 +164,8 @@
     :param overload_retry_share: the same after a refusal for overload, as a share of the time that
         the caller has left, if that is longer.
     :param shutdown_ms: longest wait for work in flight at shutdown, in milliseconds.
+    :param shutdown_serve_ms: how long a process that shuts down goes on taking work for its backend
+        server, in milliseconds.
     :param shutdown_spread_ms: how long callers may go on sending to a node that shuts down, until
         all of them know, in milliseconds.
     """
@@ -185,6 +187,7 @@
     retry_after_ms: int = 1000
     overload_retry_share: float = 0.0
     shutdown_ms: int = 30_000
+    shutdown_serve_ms: int = 0
     shutdown_spread_ms: int = 1500
 
 
--- a/packages/core/src/bamboonotch_core/state.py
+++ b/packages/core/src/bamboonotch_core/state.py
@@ -34,6 +34,8 @@
     :param announcement: latest announcement of the backend server, or ``None``.
     :param shutdown_deadline_ms: when the process ends at the latest, or ``None`` while it is not
         shutting down.
+    :param shutdown_drain_ms: when a process that shuts down stops taking work for its backend
+        server, or ``None`` once it has.
     :param shutdown_idle_after_ms: when an idle process may end at the earliest.
     :param stop_ms: when the process ends, once its leaving is announced, or ``None`` before.
     """
@@ -47,6 +49,7 @@
     competing: bool = True
     announcement: BackendServerAnnounced | None = None
     shutdown_deadline_ms: float | None = None
+    shutdown_drain_ms: float | None = None
     shutdown_idle_after_ms: float = 0.0
     stop_ms: float | None = None
 
--- a/packages/core/tests/test_reducer.py
+++ b/packages/core/tests/test_reducer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from bamboonotch_core.effects import CompeteForSlot, Effect, ReadNewest, StopCompeting, StopProcess
 from bamboonotch_core.events import (
@@ -17,6 +18,7 @@
     Tick,
 )
 from bamboonotch_core.member_record import MemberRecord, MemberState
+from bamboonotch_core.membership import own_record
 from bamboonotch_core.messages import MemberUpdate
 from bamboonotch_core.reducer import reduce
 from bamboonotch_core.request_effects import RespondToCaller
@@ -54,9 +56,9 @@
         identity = IdentitySettings(
             "a", "t", "bagmati", "bagmati-1", "10.0.0.1:7100", "10.0.0.1:7101", "10.0.0.1:7102"
         )
-        settings = NodeSettings(identity, StoreSettings("10.0.0.9:8500", "bagmati"))
+        self.settings = NodeSettings(identity, StoreSettings("10.0.0.9:8500", "bagmati"))
         self.now_ms = 1000.0
-        self.state = make_node_state(settings, 7, 1, self.now_ms)
+        self.state = make_node_state(self.settings, 7, 1, self.now_ms)
 
     def send(self, event: Event) -> tuple[Effect, ...]:
         """Reduce one event and return its effects."""
@@ -145,3 +147,23 @@
         self.assertFalse(self.state.outcomes.shutting_down)
         self.assertIn(StopProcess(), self.tick(15))
         self.assertTrue(self.state.outcomes.shutting_down)
+
+    def test_backend_server_is_used_until_shortly_before_the_end(self) -> None:
+        """Guards against rolling restarts that leave a service without any owner."""
+        requests = replace(self.settings.requests, shutdown_spread_ms=2700, shutdown_serve_ms=1700)
+        settings = replace(self.settings, requests=requests)
+        self.state = make_node_state(settings, 7, 1, self.now_ms)
+        self.serve()
+        self.send(BackendServerAnnounced(self.now_ms, "menu", "10.0.0.1:80", 6, "ready"))
+        self.send(ShutdownRequested(self.now_ms))
+        self.tick(8)
+        self.send(BackendServerAnnounced(self.now_ms, "menu", "10.0.0.1:80", 6, "ready"))
+        self.tick(8)
+        self.assertIs(own_record(self.state.membership).state, MemberState.READY)
+        self.assertFalse(self.state.admission.shutting_down)
+        self.send(BackendServerAnnounced(self.now_ms, "menu", "10.0.0.1:80", 6, "ready"))
+        self.tick()
+        self.assertIs(own_record(self.state.membership).state, MemberState.DRAINING)
+        self.assertTrue(self.state.admission.shutting_down)
+        self.assertNotIn(StopProcess(), self.tick(9))
+        self.assertIn(StopProcess(), self.tick(4))
