Take what differs between installations from their bounds

Cause: deploy/node.ini held figures of two installations: three heartbeats of 1.5 s, a grace period of 6 s, a retry ratio of 0.2. With 5 s between heartbeats every backend server would count as stopped, with a grace period of 4 s processes would be killed with answers on the way, and with 60 nodes the buckets of retries together could hold 300 where 162 are allowed. Ruled out: arithmetic in the template, which has none. Change: settings for the interval of announcements, the time until a process is killed and the bounds on the retries of all nodes; times may be given in seconds; an empty number is the default.

--- a/packages/core/src/bamboonotch_core/admission/_backend.py
+++ b/packages/core/src/bamboonotch_core/admission/_backend.py
@@ -76,7 +76,7 @@
     :param state: the state.
     :param now_ms: monotonic clock, in milliseconds.
     """
-    timeout_ms = state.settings.membership.announcement_timeout_ms
+    timeout_ms = state.settings.membership.announcement_silence_ms
     if state.backend.state == "stopped" or now_ms < state.backend.announced_ms + timeout_ms:
         return state
     return replace_fields(state, backend=replace_fields(state.backend, state="stopped"))
--- a/packages/core/src/bamboonotch_core/membership/_own.py
+++ b/packages/core/src/bamboonotch_core/membership/_own.py
@@ -43,7 +43,7 @@
     server = work.state.own.backend_server
     if server is None or server.state is MemberState.STOPPED:
         return
-    if work.now_ms - server.announced_ms > work.settings.announcement_timeout_ms:
+    if work.now_ms - server.announced_ms > work.settings.announcement_silence_ms:
         work.report("backend-server-silent", service=server.service, address=server.address)
         work.change_own(backend_server=replace(server, state=MemberState.STOPPED))
 
--- a/packages/core/src/bamboonotch_core/outcomes/_attempts.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_attempts.py
@@ -284,7 +284,7 @@
     exhausted = request.max_attempts and arrivals >= request.max_attempts
     if request.arrived_attempt > 0 or exhausted:
         return finish(state, request, outcome, reason, now_ms)
-    paid = take_token(state, request.service)
+    paid = take_token(state, request.service, table)
     if paid is None:
         return finish(state, request, outcome, reason, now_ms)
     retried = replace_fields(request, header_attempt=request.header_attempt + 1, arrivals=arrivals)
--- a/packages/core/src/bamboonotch_core/outcomes/_reducer.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reducer.py
@@ -207,7 +207,9 @@
     view = record_load(view, load, now_ms)
     if reason in BUSY_REASONS:
         view = record_refusal(view, AVOID_BUSY_MS, now_ms)
-        view = record_no_room(view, request.rank, AVOID_BUSY_MS, now_ms)
+        # A backend server that refuses one request may well take the next.
+        if reason != RefusalReason.BACKEND_NOT_RUN:
+            view = record_no_room(view, request.rank, AVOID_BUSY_MS, now_ms)
     elif reason in LEAVING_REASONS:
         view = record_refusal(view, AVOID_LEAVING_MS, now_ms)
     return state.views.set(owner.node_id, view)
@@ -239,7 +241,9 @@
         state,
         requests=state.requests.set(request.request_id, responding),
         views=_views_with_load(state, request, event.load, "", event.now_ms),
-        tokens=state.tokens if request.arrived_attempt else earn_token(state, request.service),
+        tokens=(
+            state.tokens if request.arrived_attempt else earn_token(state, request.service, table)
+        ),
     )
     return Transition(state, (PassResponse(event.request_id, event.attempt_id),))
 
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -192,8 +192,8 @@
     requests = state.membership.settings.requests
     state = replace(
         state,
-        shutdown_deadline_ms=event.now_ms + requests.shutdown_ms,
-        shutdown_drain_ms=event.now_ms + requests.shutdown_serve_ms,
+        shutdown_deadline_ms=event.now_ms + requests.longest_shutdown_ms,
+        shutdown_drain_ms=event.now_ms + requests.drain_after_ms,
         shutdown_idle_after_ms=event.now_ms + requests.shutdown_spread_ms,
     )
     return _drain_when_due(state, event.now_ms)
--- a/packages/core/src/bamboonotch_core/routing/_table.py
+++ b/packages/core/src/bamboonotch_core/routing/_table.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import cached_property
 
 from immutables import Map
 
@@ -85,6 +86,11 @@
     index: RouteIndex
     services: Map[str, ServiceOwners]
 
+    @cached_property
+    def owner_count(self) -> int:
+        """Owners of all services together."""
+        return sum(len(service.owners) for service in self.services.values())
+
 
 @dataclass(frozen=True)
 class RouteMatch:
--- a/packages/core/src/bamboonotch_core/settings.py
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -21,6 +21,14 @@
 ]
 
 
+# One that is lost and one that is late do not stop a backend server.
+MISSED_ANNOUNCEMENTS = 3
+# Time from the last answer to the end of the process: its leaving spreads, connections close.
+PROCESS_END_MS = 1400
+# Time for work that was taken last.
+LAST_WORK_MS = 1000
+
+
 class PushMode(Enum):
     """How a new version is offered to neighbours of the same region."""
 
@@ -113,7 +121,9 @@
     :param backoff_min_ms: first wait before dialling again, in milliseconds.
     :param backoff_max_ms: longest wait before dialling again, in milliseconds.
     :param announcement_timeout_ms: silence after which the local backend server counts as
-        stopped, in milliseconds.
+        stopped, in milliseconds, unless it announces itself more seldom.
+    :param announcement_interval_ms: time between two announcements of the local backend server, in
+        milliseconds.
     :param max_members: records held at most.
     """
 
@@ -125,8 +135,16 @@
     backoff_min_ms: int = 100
     backoff_max_ms: int = 5000
     announcement_timeout_ms: int = 1500
+    announcement_interval_ms: int = 500
     max_members: int = 10_000
 
+    @property
+    def announcement_silence_ms(self) -> int:
+        """Silence after which the local backend server counts as stopped, in milliseconds."""
+        return max(
+            self.announcement_timeout_ms, MISSED_ANNOUNCEMENTS * self.announcement_interval_ms
+        )
+
 
 @dataclass(frozen=True)
 class AdmissionSettings:
@@ -156,6 +174,9 @@
     :param max_owners_tried: owners tried after proven refusals.
     :param retry_budget_ratio: retries after dispatch, as a share of requests of a service.
     :param retry_budget_initial: retries after dispatch that a service may have at the start.
+    :param fleet_retry_ratio: bound of the installation on the retries of all nodes together, as a
+        share of the requests of a service; 0 for none.
+    :param fleet_retry_slack: retries that the installation allows beyond that share; 0 for none.
     :param ejection_failures: consecutive failures that eject an owner.
     :param ejection_ms: length of the first ejection, in milliseconds; doubles up to 8 times.
     :param fence_timeout_ms: longest wait for the answer to a fence, in milliseconds.
@@ -163,6 +184,8 @@
     :param retry_after_ms: wait that callers are told after a refusal, in milliseconds.
     :param overload_retry_share: the same after a refusal for overload, as a share of the time that
         the caller has left, if that is longer.
+    :param kill_after_ms: when the installation kills a process that was asked to end, in
+        milliseconds; 0 for never.
     :param shutdown_ms: longest wait for work in flight at shutdown, in milliseconds.
     :param shutdown_serve_ms: how long a process that shuts down goes on taking work for its backend
         server, in milliseconds.
@@ -180,16 +203,31 @@
     max_owners_tried: int = 3
     retry_budget_ratio: float = 0.1
     retry_budget_initial: float = 0.0
+    fleet_retry_ratio: float = 0.0
+    fleet_retry_slack: float = 0.0
     ejection_failures: int = 3
     ejection_ms: int = 1000
     fence_timeout_ms: int = 1000
     stream_silent_ms: int = 1500
     retry_after_ms: int = 1000
     overload_retry_share: float = 0.0
+    kill_after_ms: int = 0
     shutdown_ms: int = 30_000
     shutdown_serve_ms: int = 0
     shutdown_spread_ms: int = 1500
 
+    @property
+    def longest_shutdown_ms(self) -> int:
+        """Longest wait for work in flight that leaves time to end before the process is killed."""
+        if not self.kill_after_ms:
+            return self.shutdown_ms
+        return min(self.shutdown_ms, max(0, self.kill_after_ms - PROCESS_END_MS))
+
+    @property
+    def drain_after_ms(self) -> int:
+        """When a process that shuts down stops taking work for its backend server."""
+        return max(0, min(self.shutdown_serve_ms, self.longest_shutdown_ms - LAST_WORK_MS))
+
 
 @dataclass(frozen=True)
 class NodeSettings:
--- a/packages/core/tests/test_reducer.py
+++ b/packages/core/tests/test_reducer.py
@@ -23,7 +23,7 @@
 from bamboonotch_core.reducer import reduce
 from bamboonotch_core.request_effects import RespondToCaller
 from bamboonotch_core.request_events import RequestArrived
-from bamboonotch_core.settings import IdentitySettings, NodeSettings, StoreSettings
+from bamboonotch_core.settings import IdentitySettings, NodeSettings, RequestSettings, StoreSettings
 from bamboonotch_core.state import make_node_state
 
 TICK_MS = 100.0
@@ -148,6 +148,18 @@
         self.assertIn(StopProcess(), self.tick(15))
         self.assertTrue(self.state.outcomes.shutting_down)
 
+    def test_ends_before_it_is_killed(self) -> None:
+        """Guards against a process that is killed with answers on the way."""
+        requests = RequestSettings(
+            shutdown_spread_ms=2700, shutdown_serve_ms=1700, kill_after_ms=3000
+        )
+        self.assertEqual((requests.longest_shutdown_ms, requests.drain_after_ms), (1600, 600))
+        self.state = make_node_state(replace(self.settings, requests=requests), 7, 1, self.now_ms)
+        self.serve()
+        self.send(ShutdownRequested(self.now_ms))
+        self.assertIn(StopProcess(), self.tick(20))
+        self.assertEqual(RequestSettings(kill_after_ms=900).longest_shutdown_ms, 0)
+
     def test_backend_server_is_used_until_shortly_before_the_end(self) -> None:
         """Guards against rolling restarts that leave a service without any owner."""
         requests = replace(self.settings.requests, shutdown_spread_ms=2700, shutdown_serve_ms=1700)
--- a/packages/node/src/bamboonotch_node/settings/_reader.py
+++ b/packages/node/src/bamboonotch_node/settings/_reader.py
@@ -19,6 +19,9 @@
 NAME_PATTERN = re.compile(r"[a-z0-9.-]{1,64}\Z")
 MAX_PORT = 65_535
 _TRANSLATION_SECTION = "address_translation"
+MILLISECONDS = "milliseconds"
+# A time may also be given in seconds, with fractions.
+SECONDS_SUFFIX = " s"
 _SECTION_FIELDS = {"node": "identity"}
 
 
@@ -70,6 +73,8 @@
         if key not in rules:
             hint = _suggest(key, list(rules))
             raise SettingsError(f"{path}: [{section}] {key} = {value}: unknown key{hint}")
+    # A template leaves a value empty where the installation has none; the default holds then.
+    given = {key: value for key, value in given.items() if not _is_absent(rules[key], value)}
     values = {key: _parse_value(path, rules[key], value) for key, value in given.items()}
     for rule in rules.values():
         if rule.required and rule.key not in values:
@@ -93,7 +98,7 @@
         return tuple(_parse_address(item.strip()) for item in text.split(",") if item.strip())
     if issubclass(rule.kind, Enum):
         return rule.kind(text)
-    if rule.kind in (int, float):
+    if _is_number(rule):
         return _parse_number(rule, text)
     if "address" in rule.key:
         return _parse_address(text) if text or rule.required else ""
@@ -102,8 +107,21 @@
     return text
 
 
+def _is_absent(rule: SettingRule, text: str) -> bool:
+    """Tell whether the value of a number is empty, or a unit alone."""
+    return _is_number(rule) and text.strip() in ("", SECONDS_SUFFIX.strip())
+
+
+def _is_number(rule: SettingRule) -> bool:
+    return rule.kind in (int, float)
+
+
 def _parse_number(rule: SettingRule, text: str) -> int | float:
-    value: int | float = int(text) if rule.kind is int else float(text)
+    value: int | float
+    if rule.unit == MILLISECONDS and text.endswith(SECONDS_SUFFIX):
+        value = round(float(text.removesuffix(SECONDS_SUFFIX)) * 1000)
+    else:
+        value = int(text) if rule.kind is int else float(text)
     if not rule.minimum <= value <= rule.maximum:
         raise ValueError(text)
     return value
--- a/packages/node/src/bamboonotch_node/settings/_reference.py
+++ b/packages/node/src/bamboonotch_node/settings/_reference.py
@@ -47,6 +47,9 @@
     "requests.retry_budget_ratio": (0.0, 1.0),
     "requests.retry_budget_initial": (0.0, 5.0),
     "requests.overload_retry_share": (0.0, 1.0),
+    "requests.fleet_retry_ratio": (0.0, 1.0),
+    "requests.fleet_retry_slack": (0.0, 1_000_000.0),
+    "requests.kill_after_ms": (0, 86_400_000),
     "requests.shutdown_serve_ms": (0, 86_400_000),
     "admission.latency_factor": (1.0, 100.0),
 }
--- a/packages/node/tests/settings/test_reader.py
+++ b/packages/node/tests/settings/test_reader.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from bamboonotch_core.errors import SettingsError
-from bamboonotch_core.settings import PushMode
+from bamboonotch_core.settings import PushMode, RequestSettings
 from bamboonotch_node.settings import read_settings
 
 VALID = """
@@ -72,6 +72,23 @@
                 self.assertIn(expected, error)
                 self.assertIn(text.split("\n")[1].split(" = ")[0], error)
 
+    def test_times_in_seconds(self) -> None:
+        """Guards against a time of the installation that is taken for milliseconds."""
+        text = "[requests]\nkill_after_ms = 4.5 s\n[membership]\nannouncement_interval_ms = 2 s\n"
+        self._path.write_text(VALID + text)
+        settings = read_settings(self._path)
+        self.assertEqual(settings.requests.kill_after_ms, 4500)
+        self.assertEqual(settings.membership.announcement_silence_ms, 6000)
+        for value in ("4.5", "4.5 m", "-1 s", "nan s", "1e9 s"):
+            error = self._read_error(VALID + f"[requests]\nkill_after_ms = {value}\n")
+            self.assertIn("an integer of milliseconds", error)
+
+    def test_empty_numbers_are_absent(self) -> None:
+        """Guards against a node that does not start where an installation has no such bound."""
+        text = "[requests]\nkill_after_ms =  s\nfleet_retry_ratio =\nfleet_retry_slack = \n"
+        self._path.write_text(VALID + text)
+        self.assertEqual(read_settings(self._path).requests, RequestSettings())
+
     def test_unknown_section(self) -> None:
         """Guards against a misspelt section whose settings are silently ignored."""
         self.assertIn("[membersip]", self._read_error(VALID + "[membersip]\na = 1\n"))
