--- a/tools/build_release.py
+++ b/tools/build_release.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from py_compile import PycInvalidationMode
 
 ROOT = Path(__file__).resolve().parent.parent
 REQUIREMENTS = ROOT / "deploy" / "requirements.txt"
@@ -69,7 +70,16 @@
         shutil.rmtree(target / package.name, ignore_errors=True)
         ignored = shutil.ignore_patterns("__pycache__")
         shutil.copytree(package, target / package.name, ignore=ignored)
-    if not compileall.compile_dir(target, quiet=2, workers=1, optimize=OPTIMIZATION):
+    # Compiled files that depend on the times of their sources would be ignored in a copy of the
+    # directory, and each start would compile everything again.
+    compiled = compileall.compile_dir(
+        target,
+        quiet=2,
+        workers=1,
+        optimize=OPTIMIZATION,
+        invalidation_mode=PycInvalidationMode.UNCHECKED_HASH,
+    )
+    if not compiled:
         return False
     stamp.write_text(digest.hexdigest())
     return True
