--- a/packages/node/src/bamboonotch_node/runtime/_request_observer.py
+++ b/packages/node/src/bamboonotch_node/runtime/_request_observer.py
@@ -62,6 +62,7 @@
     offered_ms: float
     service: str
     request_class: str
+    returning: bool
     dispatched_ms: float | None = None
 
 
@@ -124,7 +125,9 @@
 
     @see_event.register
     def _(self, event: WorkOffered) -> None:
-        self._works[event.attempt_id] = _Work(event.now_ms, event.service, event.request_class)
+        self._works[event.attempt_id] = _Work(
+            event.now_ms, event.service, event.request_class, event.returning
+        )
 
     @see_event.register
     def _(self, event: BackendFinished) -> None:
@@ -189,6 +192,7 @@
             reason=effect.reason,
             not_run=effect.result is BackendResult.NOT_RUN,
             load=effect.load,
+            returning=work is not None and work.returning,
             waited_ms=0.0 if work is None else now_ms() - work.offered_ms,
         )
 
