Start no timer in the store stand-in once it is closed

The keeper asks for a new session after it has lost its slot; when that call was on its way as the test ended, the stand-in made the session after its timers had been stopped. Change: a session made after the end has no timer. Before: the new test fails. After: it passes, and tests.test_slots passes.

--- a/packages/testing/src/bamboonotch_testing/store_server/_data.py
+++ b/packages/testing/src/bamboonotch_testing/store_server/_data.py
@@ -75,6 +75,7 @@
         self._sessions: dict[str, _Session] = {}
         self._listeners: dict[int, tuple[Selection, Callable[[], None]]] = {}
         self._next_listener = 0
+        self._closed = False
         self.index = 1
 
     def select(self, selection: Selection) -> dict[str, Entry]:
@@ -202,6 +203,9 @@
         :param ttl_s: lifetime without renewal, in seconds.
         """
         session = str(uuid.uuid4())
+        if self._closed:
+            # The call was on its way at the end; nothing would stop its timer.
+            return session
         expiry = self._clock.callLater(ttl_s, self.destroy_session, session)
         self._sessions[session] = _Session(ttl_s, expiry)
         return session
@@ -231,7 +235,8 @@
             self._remove(key)
 
     def close(self) -> None:
-        """Stop the timers of all sessions."""
+        """Stop the timers of all sessions; later sessions have none."""
+        self._closed = True
         for session in self._sessions.values():
             if session.expiry.active():
                 session.expiry.cancel()
