--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -25,6 +25,7 @@
 )
 from bamboonotch_core.settings import NodeSettings
 from bamboonotch_node.clock import now_ms
+from bamboonotch_node.runtime._store_tasks import StoreTasks
 from bamboonotch_store.registration import Registration, read_registered
 from bamboonotch_store.shared import SharedStore
 
@@ -60,14 +61,13 @@
         self._registration = Registration(
             store, settings.identity, settings.store.lease_ms, reactor, random, report
         )
-        self._tasks: set[asyncio.Future[None]] = set()
+        self._tasks = StoreTasks(report)
 
     async def __aenter__(self) -> DocumentDriver:
         return self
 
     async def __aexit__(self, *error: Any) -> None:
-        for task in tuple(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         loop = asyncio.get_running_loop()
         # A store that is away must not hold the end of the process; the lease ends by itself.
         with contextlib.suppress(BamboonotchError, TimeoutError):
@@ -84,29 +84,18 @@
 
     @carry_out.register
     def _(self, effect: WatchDocument) -> None:
-        self._start(self._answer(StoreOperation(WATCH_DOCUMENT), self._watch(effect)))
+        self._tasks.start(self._answer(StoreOperation(WATCH_DOCUMENT), self._watch(effect)))
 
     @carry_out.register
     def _(self, effect: ReadSlots) -> None:
         del effect
-        self._start(self._answer(StoreOperation("read-slots"), self._read_members()))
+        self._tasks.start(self._answer(StoreOperation("read-slots"), self._read_members()))
 
     @carry_out.register
     def _(self, effect: CompeteForSlot) -> None:
         del effect
         self._registration.start()
 
-    def _start(self, work: Coroutine[Deferred[Any], Any, None]) -> None:
-        task = Deferred.fromCoroutine(work).asFuture(asyncio.get_running_loop())
-        self._tasks.add(task)
-        task.add_done_callback(self._finish)
-
-    def _finish(self, task: asyncio.Future[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            fault = (("fault", repr(task.exception())),)
-            self._report(Report("store-task-failed", fault))
-
     async def _answer(
         self, operation: StoreOperation, work: Coroutine[Deferred[Any], Any, Event]
     ) -> None:
--- a/packages/node/src/bamboonotch_node/runtime/_store_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_store_driver.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
 from random import Random
 from types import TracebackType
@@ -39,6 +39,7 @@
 from bamboonotch_core.request_events import BackendResult, ClaimAnswered, ClaimResult
 from bamboonotch_core.settings import NodeSettings
 from bamboonotch_node.clock import now_ms, unix_ms
+from bamboonotch_node.runtime._store_tasks import StoreTasks
 from bamboonotch_store.claims import Claims
 from bamboonotch_store.client import OnCall, StoreClient
 from bamboonotch_store.log import VersionLog
@@ -86,7 +87,7 @@
         )
         self._slot = -1
         self._created_claims: OrderedDict[str, str] = OrderedDict()
-        self._tasks: set[asyncio.Future[None]] = set()
+        self._tasks = StoreTasks(report)
         self._cleanup: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> StoreDriver:
@@ -100,8 +101,7 @@
     ) -> None:
         if self._cleanup is not None:
             self._cleanup.cancel()
-        for task in tuple(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         with contextlib.suppress(BamboonotchError):
             await Deferred.fromCoroutine(self._slots.stop()).asFuture(asyncio.get_running_loop())
         await self._client.close().asFuture(asyncio.get_running_loop())
@@ -136,35 +136,24 @@
     @carry_out.register
     def _(self, effect: StopCompeting) -> None:
         del effect
-        self._start(self._slots.stop())
+        self._tasks.start(self._slots.stop())
 
     @carry_out.register
     def _(self, effect: WriteSnapshot) -> None:
-        self._start(self._write_snapshot(effect))
+        self._tasks.start(self._write_snapshot(effect))
 
     @carry_out.register
     def _(self, effect: ClaimKey) -> None:
-        self._start(self._claim(effect))
+        self._tasks.start(self._claim(effect))
 
     @carry_out.register
     def _(self, effect: RefuseWork) -> None:
         key = self._created_claims.pop(effect.attempt_id, None)
         if key is not None and effect.result is BackendResult.NOT_RUN:
-            self._start(self._release_claim(key, effect.attempt_id))
-
-    def _start(self, work: Coroutine[Deferred[Any], Any, None]) -> None:
-        task = Deferred.fromCoroutine(work).asFuture(asyncio.get_running_loop())
-        self._tasks.add(task)
-        task.add_done_callback(self._finish)
-
-    def _finish(self, task: asyncio.Future[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            fault = (("fault", repr(task.exception())),)
-            self._report(Report("store-task-failed", fault))
+            self._tasks.start(self._release_claim(key, effect.attempt_id))
 
     def _read(self, operation: StoreOperation, work: Awaitable[Event]) -> None:
-        self._start(self._dispatch_answer(operation, work))
+        self._tasks.start(self._dispatch_answer(operation, work))
 
     async def _dispatch_answer(self, operation: StoreOperation, work: Awaitable[Event]) -> None:
         try:
@@ -246,7 +235,7 @@
         self._cleanup = loop.call_later(CLAIM_CLEANUP_S, self._clean_up)
 
     def _clean_up(self) -> None:
-        self._start(self._delete_old_claims())
+        self._tasks.start(self._delete_old_claims())
         self._schedule_cleanup()
 
     async def _delete_old_claims(self) -> None:
