Send the metadata of a forward stream before its first frame

Cause: grpcio sends the initial metadata with the first write, and notes that they were sent only when that write has returned. A bad first frame ends the stream while the hello is being written; the write is cancelled, abort() sends the metadata again, core refuses the batch, and the peer never gets a status. Ruled out: the peer's half of the stream (closed streams with a peer that had said hello always ended), load (seen on an idle machine too).

Now the metadata go out before the reader starts. The control stream awaits its hello alone and is not concerned.

--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -328,6 +328,9 @@
         """
         if len(self._streams) >= MAX_STREAMS:
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many forward streams")
+        # The first write would carry the metadata; grpcio sends it again, and so never ends the call,
+        # when that write is cancelled under way by a bad first frame.
+        await context.send_initial_metadata(())
         frames = FrameStream(self._identity, context.read, context.write)
         stream = _ServerStream(self, frames)
         self._streams.add(frames)
--- a/packages/node/tests/forwarding/test_malformed.py
+++ b/packages/node/tests/forwarding/test_malformed.py
@@ -15,6 +15,8 @@
 from bamboonotch_wire import bamboonotch_pb2_grpc as pb_grpc
 from tests.forwarding.support import PathTest, get
 
+# One in 50 was left open before the metadata was sent on its own.
+BAD_FIRST_FRAMES = 400
 HELLO = pb.ForwardFrame(hello=pb.ForwardHello(node_id="peer", incarnation=1))
 
 
@@ -133,6 +135,18 @@
 
         self.run_async(main)
 
+    def test_bad_first_frames_never_leave_a_stream_open(self) -> None:
+        """Guards against a peer that waits for ever: the hello was cancelled under way."""
+
+        async def main() -> None:
+            await self.connect()
+            for _ in range(BAD_FIRST_FRAMES):
+                silent = self.stub.Forward()
+                await silent.write(head())
+                await self.assert_closed(silent)
+
+        self.run_async(main)
+
     def test_unknown_frames_are_ignored(self) -> None:
         """Guards against a newer version that an older one cannot talk to."""
 
