--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -328,8 +328,8 @@
         """
         if len(self._streams) >= MAX_STREAMS:
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many forward streams")
-        # The first write would carry the metadata; grpcio sends it again, and so never ends the call,
-        # when that write is cancelled under way by a bad first frame.
+        # Otherwise the first write carries the metadata. When a bad first frame cancels that write,
+        # grpcio sends them again, which fails, and the peer never learns that the call has ended.
         await context.send_initial_metadata(())
         frames = FrameStream(self._identity, context.read, context.write)
         stream = _ServerStream(self, frames)
--- a/packages/testing/src/bamboonotch_testing/fleet/_process.py
+++ b/packages/testing/src/bamboonotch_testing/fleet/_process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import signal
 import subprocess
 import sys
@@ -90,13 +89,21 @@
         assert self._process is not None
         return self._process.wait(timeout_s)
 
+    def signal(self, number: int) -> None:
+        """Send a signal.
+
+        :param number: number of the signal.
+        """
+        assert self._process is not None
+        self._process.send_signal(number)
+
     def pause(self) -> None:
         """Freeze the process (SIGSTOP)."""
-        os.kill(self.pid, signal.SIGSTOP)
+        self.signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Let a frozen process run on (SIGCONT)."""
-        os.kill(self.pid, signal.SIGCONT)
+        self.signal(signal.SIGCONT)
 
     def read_log(self) -> str:
         """Return the output so far."""
--- a/packages/testing/src/bamboonotch_testing/platform_backend/__init__.py
+++ b/packages/testing/src/bamboonotch_testing/platform_backend/__init__.py
@@ -1,5 +1,13 @@
 """Stand-in of a backend server that speaks the platform's HTTP and announces itself."""
 
-from bamboonotch_testing.platform_backend._server import Answer, BackendPlan, PlatformBackend, Run
+from bamboonotch_testing.platform_backend._server import (
+    ABSENT_NODE,
+    Answer,
+    Arrival,
+    BackendPlan,
+    PlatformBackend,
+    Run,
+    make_body,
+)
 
-__all__ = ["Answer", "BackendPlan", "PlatformBackend", "Run"]
+__all__ = ["ABSENT_NODE", "Answer", "Arrival", "BackendPlan", "PlatformBackend", "Run", "make_body"]
--- a/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
+++ b/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections import deque
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -18,10 +19,11 @@
 
 from bamboonotch_store.http import BytesProducer
 
-__all__ = ["Answer", "BackendPlan", "PlatformBackend", "Run"]
+__all__ = ["ABSENT_NODE", "Answer", "Arrival", "BackendPlan", "PlatformBackend", "Run", "make_body"]
 
+SLOW_PREFIX = "/slow/"
 # How a call ends when the node does not run, or this stand-in is closed meanwhile.
-_ABSENT_NODE = (
+ABSENT_NODE = (
     CancelledError,
     ConnectError,
     ConnectingCancelledError,
@@ -30,6 +32,16 @@
 )
 
 
+def make_body(request_id: str, size_bytes: int) -> bytes:
+    """Return the body of the answer to one request, which no other answer has.
+
+    :param request_id: the request.
+    :param size_bytes: size of the body.
+    """
+    text = f"{request_id or 'none'} ".encode()
+    return (text * (size_bytes // len(text) + 1))[:size_bytes]
+
+
 class Answer(Enum):
     """How a request that was run is answered."""
 
@@ -52,6 +64,7 @@
     :param queue: requests that wait for a slot; more are refused.
     :param work_ms: time that a request takes, in milliseconds.
     :param body_bytes: size of a response.
+    :param slow_ms: time that a request below ``/slow/`` takes, in milliseconds.
     :param heartbeat_ms: time between two heartbeats, in milliseconds.
     :param started_unix_ms: start of the process, in milliseconds since 1970.
     """
@@ -62,11 +75,26 @@
     queue: int = 24
     work_ms: float = 20.0
     body_bytes: int = 5000
+    slow_ms: float = 700.0
     heartbeat_ms: float = 300.0
     started_unix_ms: int = 1_700_000_000_000
 
 
 @dataclass(frozen=True)
+class Arrival:
+    """One request that arrived, whether or not it was run.
+
+    :param request_id: value of ``Attempt-Id``.
+    :param instance_id: process that it arrived at.
+    :param arrived_s: monotonic clock, in seconds.
+    """
+
+    request_id: str
+    instance_id: str
+    arrived_s: float
+
+
+@dataclass
 class Run:
     """One request that was run.
 
@@ -76,6 +104,8 @@
     :param body: request body.
     :param caller_service: value of ``Caller-Service``.
     :param remaining_ms: value of ``Timeout-Remaining``.
+    :param started_s: when a slot took it, on the monotonic clock, in seconds.
+    :param ended_s: when it left its slot, also where its caller had left; 0 while it runs.
     """
 
     request_id: str
@@ -84,6 +114,8 @@
     body: bytes
     caller_service: str
     remaining_ms: int
+    started_s: float = 0.0
+    ended_s: float = 0.0
 
 
 class PlatformBackend:
@@ -101,6 +133,7 @@
         self.answer = Answer.WHOLE
         self.state = "ready"
         self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
         self.cancelled = 0
         self.acknowledged: list[str] = []
         self.address = ""
@@ -108,6 +141,7 @@
         self._sequence = 0
         self._running = 0
         self._waiting: deque[tuple[Request, Run]] = deque()
+        self._timers: dict[int, Any] = {}
         self._port: Any = None
         self._beating: Deferred[Any] | None = None
         self._beats = LoopingCall(self._beat_quietly)
@@ -186,20 +220,22 @@
         # The node may not run yet, or not any more; the next heartbeat tries again.
         beat: Deferred[Any] = Deferred.fromCoroutine(self.beat())
         self._beating = beat
-        return beat.addErrback(lambda failure: failure.trap(*_ABSENT_NODE))
+        return beat.addErrback(lambda failure: failure.trap(*ABSENT_NODE))
 
     def arrive(self, request: Request) -> Any:
         """Take a request.
 
         :param request: the request.
         """
+        request_id = request.getHeader("Attempt-Id") or ""
         expected = request.getHeader("Expected-Instance")
         if expected is not None and expected != self.plan.instance_id:
             request.setResponseCode(421)
             request.setHeader("Instance-Id", self.plan.instance_id)
             return b""
+        self.arrivals.append(Arrival(request_id, self.plan.instance_id, time.monotonic()))
         run = Run(
-            request_id=request.getHeader("Attempt-Id") or "",
+            request_id=request_id,
             method=request.method.decode("ascii"),
             path=request.uri.decode("ascii"),
             body=request.content.read(),
@@ -211,6 +247,7 @@
             request.setHeader("Not-Executed", "1")
             return b""
         self._waiting.append((request, run))
+        request.notifyFinish().addErrback(lambda failure: self._caller_left(request, run))
         self._start_next()
         return NOT_DONE_YET
 
@@ -218,18 +255,26 @@
         while self._waiting and self._running < self.plan.slots:
             request, run = self._waiting.popleft()
             self._running += 1
+            run.started_s = time.monotonic()
             self.runs.append(run)
-            timer = self._reactor.callLater(self.plan.work_ms / 1000, self._end, request, run)
-            request.notifyFinish().addErrback(lambda _, timer=timer: self._cancel(timer))
+            work_ms = self.plan.slow_ms if run.path.startswith(SLOW_PREFIX) else self.plan.work_ms
+            self._timers[id(run)] = self._reactor.callLater(work_ms / 1000, self._end, request, run)
 
-    def _cancel(self, timer: Any) -> None:
-        if timer.active():
+    def _caller_left(self, request: Request, run: Run) -> None:
+        if (request, run) in self._waiting:
+            self._waiting.remove((request, run))
+            return
+        timer = self._timers.pop(id(run), None)
+        if timer is not None:
             timer.cancel()
+            run.ended_s = time.monotonic()
             self.cancelled += 1
             self._running -= 1
             self._start_next()
 
     def _end(self, request: Request, run: Run) -> None:
+        del self._timers[id(run)]
+        run.ended_s = time.monotonic()
         self._running -= 1
         self._respond(request, run)
         self._start_next()
@@ -239,17 +284,18 @@
         if answer is Answer.LOST:
             request.transport.abortConnection()
             return
-        body = b"b" * self.plan.body_bytes
+        body = make_body(run.request_id, self.plan.body_bytes)
         request_id = "0" * 16 if answer is Answer.FOREIGN else run.request_id
+        signature = f"{run.request_id}.1"
         request.setHeader("Attempt-Id", request_id)
         request.setHeader("Server-Load", f"{self._running},{len(self._waiting)},{self.plan.slots}")
         if answer is not Answer.UNSIGNED:
-            request.setHeader("Response-Signature", f"{run.request_id}.1")
+            request.setHeader("Response-Signature", signature)
         if answer is Answer.ERROR:
             request.setResponseCode(500)
         if answer is Answer.UNFRAMED:
-            head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\nResponse-Signature: s\r\n\r\n"
-            request.transport.write(head.encode() + body)
+            names = f"Attempt-Id: {request_id}\r\nResponse-Signature: {signature}\r\n"
+            request.transport.write(f"HTTP/1.1 200 OK\r\n{names}\r\n".encode() + body)
             request.transport.loseConnection()
             return
         request.setHeader("Content-Length", str(len(body)))
--- /dev/null
+++ b/packages/testing/src/bamboonotch_testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real nodes under overlapping faults, checked from the outside."""
