--- a/packages/testing/src/bamboonotch_testing/soak/__main__.py
+++ b/packages/testing/src/bamboonotch_testing/soak/__main__.py
@@ -72,7 +72,8 @@
     reactor.startRunning(installSignalHandlers=False)  # type: ignore[attr-defined]
     plan, program = make_plan(seed, faults_s, nodes), PROGRAM
     if defect:
-        plan = make_plan(seed, faults_s, nodes, DEFECTS[defect].kinds)
+        broken = DEFECTS[defect]
+        plan = make_plan(seed, faults_s, nodes, broken.kinds, broken.answers)
         program = defective_program(defect)
     with tempfile.TemporaryDirectory() as name:
         directory = Path(name)
@@ -82,7 +83,10 @@
         promises = {breach.promise for breach in report.breaches}
         passed = DEFECTS[defect].promise in promises if defect else not promises
         verdict = "passed" if passed else "failed"
-        click.echo(f"seed {seed}: {verdict}, {report.served} of {report.calls} calls served")
+        click.echo(
+            f"seed {seed}: {verdict}, {report.served} of {report.calls} calls served,"
+            f" longest stall of this process {report.worst_stall_ms:.0f} ms"
+        )
         for breach in report.breaches:
             click.echo(f"seed {seed}: {breach.promise}: {breach.detail}")
         if not passed and logs is not None:
--- a/packages/testing/src/bamboonotch_testing/soak/_checks.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_checks.py
@@ -197,7 +197,12 @@
         if call.ended_s > limit_s and _in_touch(record, call.node, call.sent_s, limit_s):
             late.append(call)
     if len(late) > FEW:
-        yield f"{len(late)} requests, such as {late[0].request_id}"
+        worst = max(late, key=lambda call: call.ended_s - call.sent_s)
+        yield (
+            f"{len(late)} requests, at worst {worst.request_id} at n{worst.node} with"
+            f" {worst.remaining_ms} ms: {worst.ended_s - worst.sent_s:.2f} s, {worst.ending.value},"
+            f" status {worst.status}"
+        )
 
 
 def _check_kept_connections(record: Record) -> Iterator[str]:
--- a/packages/testing/src/bamboonotch_testing/soak/_defects.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_defects.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bamboonotch_testing.soak._plan import FaultKind
+from bamboonotch_testing.soak._plan import BACKEND_ANSWERS, FaultKind
 
 __all__ = ["DEFECTS", "Defect", "defective_program"]
 
@@ -30,11 +30,13 @@
     :param promise: the check that must notice it.
     :param apply: breaks the node in this process.
     :param kinds: faults of the run.
+    :param answers: how answers of backend servers are spoiled in the run.
     """
 
     promise: str
     apply: Callable[[], None]
     kinds: tuple[FaultKind, ...] = (FaultKind.VERSION,)
+    answers: tuple[str, ...] = BACKEND_ANSWERS
 
 
 def defective_program(name: str) -> tuple[str, ...]:
@@ -79,19 +81,23 @@
     _replace(HttpDialect, "is_not_run", lambda self, status, headers: status >= 500)
 
 
-def _ignore_attempts_of_rule() -> None:
-    from bamboonotch_core.outcomes import _reducer
+def _retry_without_bounds() -> None:
+    from bamboonotch_core.outcomes import _attempts, _reducer
     from bamboonotch_core.outcomes._state import PendingRequest
 
     def without_bound(*args: Any, **fields: Any) -> PendingRequest:
         return PendingRequest(*args, **fields | {"max_attempts": 0})
 
     _replace(_reducer, "PendingRequest", without_bound)
+    _replace(_attempts, "take_token", lambda state, service, table: state)
 
 
-def _retry_without_budget() -> None:
+def _distrust_most_answers() -> None:
     from bamboonotch_core.outcomes import _attempts
+    from bamboonotch_node.dialect import HttpDialect
 
+    numbers = iter(range(sys.maxsize))
+    _replace(HttpDialect, "has_proof", lambda *_: not next(numbers) % 3)
     _replace(_attempts, "take_token", lambda state, service, table: state)
 
 
@@ -222,8 +228,8 @@
     "forget-caller-service": Defect("requests unchanged", _forget_caller_service),
     "repeat-orders": Defect("at most once", _repeat_orders, ANSWERS),
     "believe-errors-not-run": Defect("refused is not run", _believe_errors_not_run, ANSWERS),
-    "ignore-attempts-of-rule": Defect("attempts", _ignore_attempts_of_rule, ANSWERS),
-    "retry-without-budget": Defect("retries", _retry_without_budget, ANSWERS),
+    "ignore-bounds": Defect("attempts", _retry_without_bounds, ANSWERS, ("LOST",)),
+    "distrust-answers": Defect("retries", _distrust_most_answers),
     "promise-more-time": Defect("time left", _promise_more_time),
     "ignore-leaving-callers": Defect("callers that leave", _ignore_leaving_callers),
     "never-answer-some": Defect("time limit", _never_answer_some),
--- a/packages/testing/src/bamboonotch_testing/soak/_plan.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_plan.py
@@ -87,7 +87,11 @@
 
 
 def make_plan(
-    seed: int, faults_s: float, nodes: int = 6, kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    seed: int,
+    faults_s: float,
+    nodes: int = 6,
+    kinds: tuple[FaultKind, ...] = tuple(FaultKind),
+    answers: tuple[str, ...] = BACKEND_ANSWERS,
 ) -> SoakPlan:
     """Draw a run.
 
@@ -95,6 +99,7 @@
     :param faults_s: length of the part with faults, in seconds.
     :param nodes: number of nodes.
     :param kinds: what may happen.
+    :param answers: how answers of backend servers may be spoiled.
     """
     random = Random(seed)
     # Each run has some of the kinds only; so pairs of them meet more often.
@@ -114,7 +119,7 @@
         if kind is FaultKind.STORE_CALLS:
             detail = random.choice(STORE_FAULTS)
         elif kind is FaultKind.BACKEND_ANSWER:
-            detail = random.choice(BACKEND_ANSWERS)
+            detail = random.choice(answers)
         steps.append(
             Step(
                 at_s=at_s,
--- a/packages/testing/src/bamboonotch_testing/soak/_record.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_record.py
@@ -8,9 +8,11 @@
 
 from bamboonotch_testing.platform_backend import Arrival, Run
 
-__all__ = ["CallRecord", "Ending", "Record", "Span"]
+__all__ = ["OBSERVER", "STORE", "CallRecord", "Ending", "Record", "Span"]
 
 STORE = "store"
+# The process that makes the record; what it sees late need not have come late.
+OBSERVER = "observer"
 
 
 class Ending(Enum):
@@ -65,7 +67,7 @@
 class Span:
     """A time in which something was disturbed.
 
-    :param target: ``store`` or the number of a node, as text.
+    :param target: the store, the observer or the number of a node, as text.
     :param what: what happened.
     :param planned: whether it is planned work, such as a SIGTERM.
     :param started_s: its start, on the monotonic clock, in seconds.
@@ -92,6 +94,7 @@
     :param leaving: when the leaving of a backend server was acknowledged, by its process.
     :param ends: processes that ended by themselves, and those that did not end in time.
     :param healed_s: when the last fault ended.
+    :param worst_stall_ms: longest time in which the observing process did not run.
     """
 
     services: tuple[str, ...]
@@ -103,11 +106,12 @@
     leaving: dict[str, float] = field(default_factory=dict)
     ends: list[str] = field(default_factory=list)
     healed_s: float = 0.0
+    worst_stall_ms: float = 0.0
 
     def is_calm(
         self, target: int | str, start_s: float, end_s: float, planned: bool = True
     ) -> bool:
-        """Tell whether nothing disturbed a target in a span of time.
+        """Tell whether nothing disturbed a target or the observer in a span of time.
 
         :param target: the store or a node.
         :param start_s: start of the span.
@@ -115,7 +119,7 @@
         :param planned: whether planned work counts as well.
         """
         return not any(
-            span.target == str(target)
+            span.target in (str(target), OBSERVER)
             and (planned or not span.planned)
             and span.started_s <= end_s
             and span.ended_s >= start_s
--- a/packages/testing/src/bamboonotch_testing/soak/_world.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_world.py
@@ -30,7 +30,7 @@
 PEER_PROXY_PORT, BACKEND_PORT, BACKEND_PROXY_PORT, STORE_PROXY_PORT = 7110, 7120, 7121, 7130
 WORK_MS = 15.0
 # The least slack that a day of the platform had is much larger; this one binds in a short run.
-RETRY_SLACK = 20
+RETRY_SLACK = 8
 GRACE_S = 6.0
 FURTHER_SETTINGS = f"""\
 kill_after_ms = {GRACE_S:g} s
--- a/packages/testing/tests/soak/test_checks.py
+++ b/packages/testing/tests/soak/test_checks.py
@@ -8,7 +8,7 @@
 from bamboonotch_testing.platform_backend import Arrival, BackendPlan, Run, make_body
 from bamboonotch_testing.soak._checks import CHECKS, find_breaches
 from bamboonotch_testing.soak._defects import DEFECTS
-from bamboonotch_testing.soak._record import CallRecord, Ending, Record, Span
+from bamboonotch_testing.soak._record import OBSERVER, CallRecord, Ending, Record, Span
 from bamboonotch_testing.soak._versions import SERVICES
 
 SENT_S = 100.0
@@ -168,6 +168,13 @@
         self.disturb(0, SENT_S - 1.0, SENT_S, planned=False)
         self.assert_breaches()
 
+    def test_stall_of_the_observer(self) -> None:
+        """Guards against answers called late because this process did not run."""
+        for number in range(4):
+            self.serve(f"a{number}", status=504, ended_s=SENT_S + 3.0)
+        self.disturb(OBSERVER, SENT_S + 1.0, SENT_S + 2.5, planned=False)
+        self.assert_breaches()
+
     def test_cut_connections(self) -> None:
         """Guards against connections that a node closes instead of answering."""
         for number in range(4):
