--- /dev/null
+++ b/packages/testing/tests/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the reports."""
