Reuse a backend connection only while it is trusted

Cause: some backend servers of the platform forget connections that rested for 0.3 s; what is sent next is reset.

A request that cannot be repeated now takes a connection that rested for less than 0.2 s, or a new one. A connection that breaks at its reuse halves the trusted rest for a minute, with a log line. Ruled out: repeating the request here (nothing shows that it has not run), a status check before each reuse (a round trip and a probe that is priced).

Tests: with both rules taken out of the pool the two new tests of test_exchange.py fail.

--- a/packages/node/src/bamboonotch_node/backend/_client.py
+++ b/packages/node/src/bamboonotch_node/backend/_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from bamboonotch_core.effects import Report
 from bamboonotch_core.request_events import BackendResult
 from bamboonotch_node.backend._connections import BackendConnections
 from bamboonotch_node.backend._exchange import BackendExchange
@@ -20,6 +21,7 @@
     :param reactor: the reactor.
     :param clock: monotonic clock in milliseconds.
     :param load: returns the work in slots and queue, which travels with each response.
+    :param report: takes reports of faults.
     :param dialect: names and rules of the HTTP spoken.
     """
 
@@ -28,9 +30,10 @@
         reactor: Any,
         clock: Callable[[], float],
         load: Callable[[], int],
+        report: Callable[[Report], None],
         dialect: HttpDialect = OWN_DIALECT,
     ) -> None:
-        self._connections = BackendConnections(reactor)
+        self._connections = BackendConnections(reactor, report)
         self._clock = clock
         self.load = load
         self._dialect = dialect
--- a/packages/node/src/bamboonotch_node/backend/_connections.py
+++ b/packages/node/src/bamboonotch_node/backend/_connections.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import Factory
 from twisted.web.client import HTTP11ClientProtocol
 
+from bamboonotch_core.effects import Report
 from bamboonotch_core.errors import BamboonotchError
 
 __all__ = ["BackendConnections", "ConnectionsExhaustedError"]
@@ -23,6 +24,13 @@
 # seldom closed by the server at the moment of its next use.
 IDLE_TIMEOUT_S = 4.0
 IDLE_CHECK_S = 1.0
+# A request that cannot be repeated is lost when the backend server has forgotten the connection, so
+# it takes one that rested for less than this. Servers that forget early do so after 0.3 s.
+UNREPEATABLE_REST_S = 0.2
+# Once a connection broke at its reuse, those that rested half as long are not reused either, for
+# this time.
+DISTRUST_S = 60.0
+MIN_REST_S = 0.02
 # The slots of a backend server bound the requests in progress; this bounds what aborted ones add.
 MAX_CONNECTIONS = 512
 
@@ -45,6 +53,7 @@
         super().__init__(pool.put_back)
         self.address = address
         self.closed_in_order = False
+        self.rested_s = 0.0
         self._pool = pool
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
@@ -94,30 +103,60 @@
     """Hands out connections, each for one request at a time.
 
     :param reactor: the reactor.
+    :param report: takes reports of faults.
     """
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, report: Callable[[Report], None]) -> None:
         self._reactor = reactor
+        self._report = report
         self._address = ""
         self._endpoint: Any = None
         self._idle: deque[tuple[float, _Connection]] = deque()
         self._open: set[_Connection] = set()
         self._connecting = 0
         self._check: asyncio.TimerHandle | None = None
+        self._trusted_rest_s = IDLE_TIMEOUT_S
+        self._distrusted_until_s = 0.0
 
-    def take_idle(self, address: str) -> Any | None:
+    def take_idle(self, address: str, repeatable: bool = True) -> Any | None:
         """Return an idle connection that is alive, or ``None``.
 
         :param address: ``ip:port`` of the backend server.
+        :param repeatable: whether the request may be sent again when the connection breaks.
         """
         self._choose(address)
-        while self._idle:
-            _, connection = self._idle.pop()
+        now_s = asyncio.get_running_loop().time()
+        limit_s = self._trusted_rest_s if now_s < self._distrusted_until_s else IDLE_TIMEOUT_S
+        if not repeatable:
+            limit_s = min(limit_s, UNREPEATABLE_REST_S)
+        # The last one rested the shortest time.
+        while self._idle and now_s - self._idle[-1][0] < limit_s:
+            since_s, connection = self._idle.pop()
             if _is_open(connection):
+                connection.rested_s = now_s - since_s
                 return connection
             connection.transport.abortConnection()
         return None
 
+    def broke_without_answer(self, connection: Any, attempt_id: str) -> None:
+        """Note that a connection broke before an answer came.
+
+        :param connection: the connection, which may be a new one.
+        :param attempt_id: the attempt that it carried.
+        """
+        if not connection.rested_s:
+            return
+        now_s = asyncio.get_running_loop().time()
+        before_s = self._trusted_rest_s if now_s < self._distrusted_until_s else IDLE_TIMEOUT_S
+        self._trusted_rest_s = max(MIN_REST_S, min(before_s, connection.rested_s / 2))
+        self._distrusted_until_s = now_s + DISTRUST_S
+        fields = (
+            ("attempt_id", attempt_id),
+            ("rested_ms", round(connection.rested_s * 1000)),
+            ("trusted_rest_ms", round(self._trusted_rest_s * 1000)),
+        )
+        self._report(Report("backend-connection-broke", fields))
+
     def connect(self, address: str) -> Any:
         """Return a ``Deferred`` of a new connection; when it fails, nothing was written.
 
@@ -139,7 +178,7 @@
             connection.transport.loseConnection()
             return
         loop = asyncio.get_running_loop()
-        self._idle.append((loop.time() + IDLE_TIMEOUT_S, connection))
+        self._idle.append((loop.time(), connection))
         if self._check is None:
             self._check = loop.call_later(IDLE_CHECK_S, self._close_old)
 
@@ -181,7 +220,7 @@
 
     def _close_old(self) -> None:
         loop = asyncio.get_running_loop()
-        now_s = loop.time()
-        while self._idle and self._idle[0][0] <= now_s:
+        oldest_s = loop.time() - IDLE_TIMEOUT_S
+        while self._idle and self._idle[0][0] <= oldest_s:
             self._idle.popleft()[1].transport.loseConnection()
         self._check = loop.call_later(IDLE_CHECK_S, self._close_old) if self._idle else None
--- a/packages/node/src/bamboonotch_node/backend/_exchange.py
+++ b/packages/node/src/bamboonotch_node/backend/_exchange.py
@@ -165,7 +165,7 @@
         """Obtain a connection and send the request."""
         remaining_s = (self._work.deadline_ms - self._started_ms) / 1000
         self._deadline = asyncio.get_running_loop().call_later(remaining_s, self._expire)
-        connection = self._connections.take_idle(self._address)
+        connection = self._connections.take_idle(self._address, self._work.idempotent)
         if connection is not None:
             self._connected(connection)
             return
@@ -244,6 +244,8 @@
         result.addErrback(self._fault)
 
     def _failed(self, failure: Any) -> None:
+        if not self._over:
+            self._connections.broke_without_answer(self._connection, self._work.attempt_id)
         not_sent = failure.check(RequestNotSent) is not None
         self._end(BackendResult.NOT_RUN if not_sent else BackendResult.UNKNOWN)
 
--- a/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -56,7 +56,7 @@
         requests = settings.requests
         in_force = request_settings or (lambda: requests)
         orphan_ms = requests.stream_silent_ms + SILENCE_CHECK_MS + requests.fence_timeout_ms
-        self.backend = BackendClient(reactor, clock, load, dialect)
+        self.backend = BackendClient(reactor, clock, load, report, dialect)
         self.owner = OwnerSide(self.backend, dispatch, clock, orphan_ms)
         self.server = ForwardingServer(settings, incarnation, self.owner, clock, report, in_force)
         self.ingress = HttpIngress(
--- a/packages/node/tests/backend/test_exchange.py
+++ b/packages/node/tests/backend/test_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+from bamboonotch_core.effects import Report
 from bamboonotch_core.request_events import BackendResult
 from bamboonotch_node.backend import (
     BackendClient,
@@ -63,6 +64,46 @@
             self.transport.close()
 
 
+class ForgetfulServer:
+    """Resets the connection when a request comes after a rest.
+
+    :param rest_s: longest rest that is remembered, in seconds.
+    """
+
+    def __init__(self, rest_s: float) -> None:
+        self.rest_s = rest_s
+        self.connections = 0
+        self.forgotten = 0
+
+    async def start(self, case: PathTest) -> str:
+        """Start and return the address."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: _ForgetfulConnection(self), "127.0.0.1", 0)
+        case.closers.append(server.close)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+class _ForgetfulConnection(asyncio.Protocol):
+    def __init__(self, server: ForgetfulServer) -> None:
+        self.server = server
+        server.connections += 1
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self.transport = transport
+        self.answered_s: float | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Answer, or reset the connection."""
+        now_s = asyncio.get_running_loop().time()
+        if self.answered_s is not None and now_s - self.answered_s > self.server.rest_s:
+            self.server.forgotten += 1
+            self.transport.abort()
+            return
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.answered_s = now_s
+
+
 class ExchangeTest(PathTest):
     """A client and backend servers that answer, refuse, lie or die."""
 
@@ -70,13 +111,19 @@
         """Return a client of a backend server."""
         from twisted.internet import reactor
 
-        client = BackendClient(reactor, now_ms, lambda: 0)
+        self.reports: list[Report] = []
+        client = BackendClient(reactor, now_ms, lambda: 0, self.reports.append)
         client.address = address
         self.closers.append(client.close)
         return client
 
     def start(
-        self, client: BackendClient, method: str = "GET", timeout_ms: float = 5000, **request: Any
+        self,
+        client: BackendClient,
+        method: str = "GET",
+        timeout_ms: float = 5000,
+        idempotent: bool = False,
+        **request: Any,
     ) -> tuple[Receiver, Any]:
         """Start an exchange."""
         receiver = Receiver()
@@ -86,7 +133,7 @@
             service="orders",
             request_class="c",
             deadline_ms=now_ms() + timeout_ms,
-            idempotent=False,
+            idempotent=idempotent,
             idempotency_key="",
             attempt=0,
             request=CallerRequest(request_id="a", method=method, **values),
@@ -347,3 +394,40 @@
             self.assertEqual(server.state.connections, 1)
 
         self.run_async(main)
+
+    def test_request_that_cannot_be_repeated_takes_a_warm_connection(self) -> None:
+        """Guards against an order that is lost on a connection that the server has forgotten."""
+
+        async def main() -> None:
+            server = ForgetfulServer(rest_s=0.02)
+            client = self.make_client(await server.start(self))
+            self.set_constant("UNREPEATABLE_REST_S", 0.01)
+            for rest_s in (0.0, 0.04, 0.04):
+                await asyncio.sleep(rest_s)
+                receiver, _ = self.start(client)
+                self.assertIs(await receiver.result, BackendResult.DONE)
+            self.assertEqual((server.connections, server.forgotten), (3, 0))
+            self.assertEqual(self.reports, [])
+
+        self.run_async(main)
+
+    def test_connection_that_broke_shortens_the_rest(self) -> None:
+        """Guards against request after request that is sent on forgotten connections."""
+
+        async def main() -> None:
+            server = ForgetfulServer(rest_s=0.1)
+            client = self.make_client(await server.start(self))
+            for rest_s, result in ((0.0, BackendResult.DONE), (0.15, BackendResult.UNKNOWN)):
+                await asyncio.sleep(rest_s)
+                receiver, _ = self.start(client, idempotent=True)
+                self.assertIs(await receiver.result, result)
+            (report,) = self.reports
+            self.assertEqual(report.name, "backend-connection-broke")
+            trusted_s = dict(report.fields)["trusted_rest_ms"] / 1000
+            for rest_s in (0.0, trusted_s + 0.01, trusted_s + 0.01):
+                await asyncio.sleep(rest_s)
+                receiver, _ = self.start(client, idempotent=True)
+                self.assertIs(await receiver.result, BackendResult.DONE)
+            self.assertEqual((server.connections, server.forgotten), (4, 1))
+
+        self.run_async(main)
