--- a/packages/core/src/bamboonotch_core/outcomes/_attempts.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_attempts.py
@@ -290,7 +290,6 @@
     retried = replace_fields(request, header_attempt=request.header_attempt + 1, arrivals=arrivals)
     step = forward(paid, retried, table, now_ms, reason)
     if request.request_id not in step.state.requests:
-        return finish(
-            state, request, outcome, reason, now_ms
-        )  # no owner was left; the token is kept
+        # No owner was left; the token is kept.
+        return finish(state, request, outcome, reason, now_ms)
     return step
