Keep a SIGHUP pending while a node starts

Cause: until the node had installed its handler, about a second after its start, a SIGHUP ended the process. Found while reading the soak, which had to leave such signals out.

The entry points block SIGHUP before they import the program; it is delivered when the handler stands, so the reload is not lost either. Ruled out: ignoring the signal (a change after the file was read would be missed).

--- a/packages/node/src/bamboonotch_node/main.py
+++ b/packages/node/src/bamboonotch_node/main.py
@@ -18,6 +18,7 @@
 from bamboonotch_core.errors import SettingsError
 from bamboonotch_core.settings import NodeSettings
 from bamboonotch_node.clock import unix_ms
+from bamboonotch_node.early_signals import release_reload
 from bamboonotch_node.logs import configure_logs, log_event
 from bamboonotch_node.settings import read_settings
 
@@ -118,4 +119,5 @@
             settings_path, settings, runtime.apply_settings, runtime.report
         ) as watch:
             loop.add_signal_handler(signal.SIGHUP, watch.reload)
+            release_reload()
             await runtime.wait_stopped()
--- a/packages/testing/src/bamboonotch_testing/soak/_faults.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_faults.py
@@ -126,7 +126,7 @@
             place.node.signal(signal.SIGHUP)
 
     def _is_starting(self, place: Place) -> bool:
-        # A process that has not set up its handlers yet ends by SIGHUP, as any program does.
+        # Until the interpreter has loaded the program, a SIGHUP ends it, as it ends any process.
         log = place.node.read_log()
         return log.count("event=node-started") < place.lives
 
