--- a/packages/core/src/bamboonotch_core/documents/_reducer.py
+++ b/packages/core/src/bamboonotch_core/documents/_reducer.py
@@ -50,6 +50,12 @@
 ABSENT_PAUSE_MS = 100.0
 # How long a node that reaches the store waits for it before it asks a peer for a newer version.
 PEER_GRACE_MS = 300.0
+# A watch answers with the whole document at each change. While versions come faster than this, one
+# read takes the newest of several, so that a fleet's watches do not fill the link to the store.
+BURST_CHANGES = 3
+BURST_MS = 2000.0
+# A quarter of the shortest time in which a version must be in force, 3 s.
+BURST_PAUSE_MS = 700.0
 MAX_REFUSED = 64
 
 
@@ -101,6 +107,7 @@
     _read_answered(step, event.revision)
     if event.version > step.state.held_version:
         _accept_document(step, event.version, event.document)
+        _pause_in_burst(step)
 
 
 @_handle.register
@@ -200,6 +207,14 @@
     step.update(reading=DocumentReading(revision, not_before_ms=not_before_ms))
 
 
+def _pause_in_burst(step: _Step) -> None:
+    """Read again only after a pause when the last changes came in quick succession."""
+    changes_ms = (*step.state.changes_ms, step.now_ms)[-BURST_CHANGES:]
+    step.update(changes_ms=changes_ms)
+    if len(changes_ms) == BURST_CHANGES and step.now_ms - changes_ms[0] < BURST_MS:
+        step.update(reading=DocumentReading(0, not_before_ms=step.now_ms + BURST_PAUSE_MS))
+
+
 def _accept_document(step: _Step, version: int, document: Document) -> None:
     try:
         configuration = parse_configuration(document)
@@ -274,7 +289,9 @@
     if since_ms is None:
         since_ms = step.now_ms
         step.update(behind_since_ms=since_ms)
-    waits = state.store_reachable and state.serving and step.now_ms - since_ms < PEER_GRACE_MS
+    # A pause between two reads is no reason to ask a peer.
+    grace_ms = PEER_GRACE_MS + max(0.0, state.reading.not_before_ms - since_ms)
+    waits = state.store_reachable and state.serving and step.now_ms - since_ms < grace_ms
     if waits or step.now_ms - state.asked_ms < PEER_GRACE_MS:
         return
     region = state.settings.identity.region
--- a/packages/core/src/bamboonotch_core/documents/_state.py
+++ b/packages/core/src/bamboonotch_core/documents/_state.py
@@ -62,6 +62,8 @@
     :param held_ms: when it was held, in milliseconds.
     :param store_reachable: whether the last read was answered.
     :param reading: the read in progress.
+    :param changes_ms: when the store last answered with a newer version, oldest first, in
+        milliseconds.
     :param encoded: the document as it was last sent to a peer.
     :param peer_versions: newest version that the peer of each link says it holds.
     :param behind_since_ms: since when a peer is known to hold a newer version, or ``None``.
@@ -80,6 +82,7 @@
     held_ms: float = 0.0
     store_reachable: bool = True
     reading: DocumentReading = DocumentReading()
+    changes_ms: tuple[float, ...] = ()
     encoded: EncodedDocument = EncodedDocument()
     peer_versions: Map[str, int] = Map()
     behind_since_ms: float | None = None
--- a/packages/core/tests/documents/test_reducer.py
+++ b/packages/core/tests/documents/test_reducer.py
@@ -96,6 +96,30 @@
         self.step(DocumentRead(1.0, 7, make_document(7), 11))
         self.assertEqual((self.state.running_version, self.timeout_ms()), (9, 9))
 
+    def test_burst_of_versions_is_read_in_steps(self) -> None:
+        """Guards against a fleet that reads every version of a burst, and so fills the link."""
+        now_ms, reads, newest = 0.0, 0, 1
+        self.step(DocumentRead(now_ms, newest, make_document(newest), newest))
+        while now_ms < 5000.0:
+            now_ms += 100.0
+            newest += 1
+            self.step(Tick(now_ms))
+            if self.watches() or self.state.reading.pending:
+                reads += 1
+                self.step(DocumentRead(now_ms, newest, make_document(newest), newest))
+            self.assertGreaterEqual(self.state.running_version, newest - 8)
+        self.assertLessEqual(reads, 10)
+        self.step(Tick(now_ms + 700.0))
+        self.assertEqual(self.watches(), [WatchDocument(0, 0)])
+        self.step(DocumentRead(now_ms + 710.0, newest, make_document(newest), newest))
+        self.assertEqual(self.watches()[0].revision, newest)
+
+    def test_single_changes_are_watched(self) -> None:
+        """Guards against a pause when versions come one at a time."""
+        for number in range(1, 6):
+            self.step(DocumentRead(number * 1100.0, number, make_document(number), number))
+            self.assertEqual(self.watches()[0].revision, number)
+
     def test_bad_version_changes_nothing(self) -> None:
         """Guards against a part of a bad version, and against one that ends the watch."""
         self.step(DocumentRead(0.0, 7, make_document(7), 10))
