Compute the longest trusted rest of a connection in one place

The rule stood in take_idle and in broke_without_answer. The one caller of take_idle always says whether its request is repeatable, so the default is gone. No change of behaviour: node test_exchange.py, 15 passed. The comment on BURST_PAUSE_MS said a quarter of 3 s; 0.7 s is below it.

--- a/packages/core/src/bamboonotch_core/documents/_reducer.py
+++ b/packages/core/src/bamboonotch_core/documents/_reducer.py
@@ -54,7 +54,7 @@
 # read takes the newest of several, so that a fleet's watches do not fill the link to the store.
 BURST_CHANGES = 3
 BURST_MS = 2000.0
-# A quarter of the shortest time in which a version must be in force, 3 s.
+# Below a quarter of the shortest time in which a version must be in force, 3 s.
 BURST_PAUSE_MS = 700.0
 MAX_REFUSED = 64
 
--- a/packages/node/src/bamboonotch_node/backend/_connections.py
+++ b/packages/node/src/bamboonotch_node/backend/_connections.py
@@ -118,7 +118,7 @@
         self._trusted_rest_s = IDLE_TIMEOUT_S
         self._distrusted_until_s = 0.0
 
-    def take_idle(self, address: str, repeatable: bool = True) -> Any | None:
+    def take_idle(self, address: str, repeatable: bool) -> Any | None:
         """Return an idle connection that is alive, or ``None``.
 
         :param address: ``ip:port`` of the backend server.
@@ -126,7 +126,7 @@
         """
         self._choose(address)
         now_s = asyncio.get_running_loop().time()
-        limit_s = self._trusted_rest_s if now_s < self._distrusted_until_s else IDLE_TIMEOUT_S
+        limit_s = self._longest_rest_s(now_s)
         if not repeatable:
             limit_s = min(limit_s, UNREPEATABLE_REST_S)
         # The last one rested the shortest time.
@@ -147,8 +147,8 @@
         if not connection.rested_s:
             return
         now_s = asyncio.get_running_loop().time()
-        before_s = self._trusted_rest_s if now_s < self._distrusted_until_s else IDLE_TIMEOUT_S
-        self._trusted_rest_s = max(MIN_REST_S, min(before_s, connection.rested_s / 2))
+        rest_s = min(self._longest_rest_s(now_s), connection.rested_s / 2)
+        self._trusted_rest_s = max(MIN_REST_S, rest_s)
         self._distrusted_until_s = now_s + DISTRUST_S
         fields = (
             ("attempt_id", attempt_id),
@@ -218,6 +218,10 @@
             self._open.add(result)
         return result
 
+    def _longest_rest_s(self, now_s: float) -> float:
+        """Return how long a connection may have rested to be used again."""
+        return self._trusted_rest_s if now_s < self._distrusted_until_s else IDLE_TIMEOUT_S
+
     def _close_old(self) -> None:
         loop = asyncio.get_running_loop()
         oldest_s = loop.time() - IDLE_TIMEOUT_S
