Tidy the soak, and share the builder of the platform's configuration

Disturbances are contexts, which end also when a step fails. Spans tell by themselves whether they overlap a time. Reports and soak import the public names of bench and fleet.

Two places were too lenient, and are strict now: a call that ended in an unknown way was only printed by asyncio, it fails the run now; and a node that was killed before it had said that it started was never reloaded again in that run.

--- a/packages/testing/src/bamboonotch_testing/fleet/__init__.py
+++ b/packages/testing/src/bamboonotch_testing/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Starts a store, backend servers and nodes as separate processes on loopback addresses."""
 
+from bamboonotch_testing.fleet._addresses import FleetAddresses
 from bamboonotch_testing.fleet._fleet import Fleet, NodeHandle
 from bamboonotch_testing.fleet._http import HttpAnswer, call_http, call_json
 from bamboonotch_testing.fleet._layout import (
@@ -20,6 +21,7 @@
     "MKAA_BORA",
     "DataCentre",
     "Fleet",
+    "FleetAddresses",
     "HttpAnswer",
     "Layout",
     "ManagedProcess",
--- a/packages/testing/src/bamboonotch_testing/platform_node/_node.py
+++ b/packages/testing/src/bamboonotch_testing/platform_node/_node.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from bamboonotch_testing.fleet._process import ManagedProcess
+from bamboonotch_testing.fleet import ManagedProcess
 
 __all__ = ["PROGRAM", "NodePlan", "PlatformNode"]
 
--- a/packages/testing/src/bamboonotch_testing/platform_store/__init__.py
+++ b/packages/testing/src/bamboonotch_testing/platform_store/__init__.py
@@ -1,6 +1,21 @@
 """Stand-in of the platform's key-value service, with the faults that it can have."""
 
+from bamboonotch_testing.platform_store._configuration import (
+    CONFIGURED_HOST,
+    CONFIGURED_SERVICES,
+    make_configuration,
+    make_rule,
+)
 from bamboonotch_testing.platform_store._data import Item, PlatformData
 from bamboonotch_testing.platform_store._server import Fault, PlatformStoreServer
 
-__all__ = ["Fault", "Item", "PlatformData", "PlatformStoreServer"]
+__all__ = [
+    "CONFIGURED_HOST",
+    "CONFIGURED_SERVICES",
+    "Fault",
+    "Item",
+    "PlatformData",
+    "PlatformStoreServer",
+    "make_configuration",
+    "make_rule",
+]
--- a/packages/testing/src/bamboonotch_testing/reports/__main__.py
+++ b/packages/testing/src/bamboonotch_testing/reports/__main__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from bamboonotch_testing.bench._report import write_report
+from bamboonotch_testing.bench import write_report
 from bamboonotch_testing.reports._days import JournalError, read_journal
 from bamboonotch_testing.reports._report import make_report
 
--- a/packages/testing/src/bamboonotch_testing/reports/_report.py
+++ b/packages/testing/src/bamboonotch_testing/reports/_report.py
@@ -4,8 +4,7 @@
 
 from collections.abc import Sequence
 
-from bamboonotch_testing.bench._figures import Table
-from bamboonotch_testing.bench._report import Bars, Measurement
+from bamboonotch_testing.bench import Bars, Measurement, Table
 from bamboonotch_testing.reports._days import Day
 
 __all__ = ["make_report"]
--- a/packages/testing/src/bamboonotch_testing/soak/_callers.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_callers.py
@@ -26,8 +26,8 @@
 from twisted.web.http_headers import Headers
 
 from bamboonotch_store.http import BytesProducer
+from bamboonotch_testing.platform_store import CONFIGURED_HOST
 from bamboonotch_testing.soak._record import CallRecord, Ending
-from bamboonotch_testing.soak._versions import HOST
 from bamboonotch_testing.soak._world import Place, World, as_future
 
 __all__ = ["Callers"]
@@ -61,24 +61,36 @@
             pool.maxPersistentPerHost = 4
         self._agents = [Agent(world.reactor, connectTimeout=1, pool=pool) for pool in self._pools]
         self._open: set[asyncio.Task[None]] = set()
+        self._errors: list[Exception] = []
 
     async def run(self) -> None:
         """Send calls until cancelled."""
         await asyncio.gather(*(self._send_to(place) for place in self._world.places))
 
     async def finish(self) -> None:
-        """Wait for the calls under way and close the connections."""
+        """Wait for the calls under way and close the connections.
+
+        :raises ExceptionGroup: when calls ended in a way that this class does not know.
+        """
         if self._open:
             await asyncio.wait(self._open)
         for pool in self._pools:
             await as_future(pool.closeCachedConnections())
+        if self._errors:
+            raise ExceptionGroup("calls that could not be classified", self._errors)
 
     async def _send_to(self, place: Place) -> None:
         while True:
             await asyncio.sleep(self._random.expovariate(CALLS_PER_S))
             task = asyncio.create_task(self._call(place, self._make_call(place)))
             self._open.add(task)
-            task.add_done_callback(self._open.discard)
+            task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._open.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, Exception):
+            self._errors.append(error)
 
     def _make_call(self, place: Place) -> CallRecord:
         self._sent += 1
@@ -107,7 +119,7 @@
             wait_s = self._random.uniform(*LEAVING_S)
         headers = Headers(
             {
-                "Host": [HOST],
+                "Host": [CONFIGURED_HOST],
                 "Attempt-Id": [call.request_id],
                 "Timeout-Remaining": [str(call.remaining_ms)],
             }
--- a/packages/testing/src/bamboonotch_testing/soak/_faults.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_faults.py
@@ -13,7 +13,7 @@
 from bamboonotch_testing.platform_backend import ABSENT_NODE, Answer, PlatformBackend
 from bamboonotch_testing.platform_store import Fault
 from bamboonotch_testing.soak._plan import FaultKind, Step
-from bamboonotch_testing.soak._record import STORE, Span
+from bamboonotch_testing.soak._record import STORE
 from bamboonotch_testing.soak._world import GRACE_S, Place, World, as_future
 
 __all__ = ["FaultRunner"]
@@ -68,80 +68,69 @@
             return
         what, _, how = step.kind.value.partition("-")
         link: FaultProxy = getattr(place, f"{what}_link")
-        span = self._world.begin(step.target, step.kind.value)
         way = Direction.TO_SERVER if step.to_server else Direction.TO_CLIENT
-        if how == "reset":
-            link.cut()
-        elif how == "silent":
-            link.freeze()
-        elif how == "delay":
-            link.delay(way, step.delay_ms)
-        else:
-            link.cut_one_way(way)
-        await asyncio.sleep(step.hold_s)
-        if how in ("delay", "one-way"):
-            # Also ends what another step did to this link, whose span lasts longer then.
-            link.clear()
-        self._end(span)
-
-    def _end(self, span: Span) -> None:
-        span.ended_s = asyncio.get_running_loop().time()
+        with self._world.disturbed(step.target, step.kind.value):
+            if how == "reset":
+                link.cut()
+            elif how == "silent":
+                link.freeze()
+            elif how == "delay":
+                link.delay(way, step.delay_ms)
+            else:
+                link.cut_one_way(way)
+            await asyncio.sleep(step.hold_s)
+            if how in ("delay", "one-way"):
+                # Also ends what another step did to this link, whose span lasts longer then.
+                link.clear()
 
     async def _kill(self, place: Place, step: Step) -> None:
-        span = self._world.begin(place.number, "kill")
-        place.node.kill()
-        await asyncio.sleep(step.hold_s)
-        place.start_node()
-        self._end(span)
+        with self._world.disturbed(place.number, "kill"):
+            place.node.kill()
+            await asyncio.sleep(step.hold_s)
+            place.start_node()
 
     async def _stop(self, place: Place, step: Step) -> None:
         if not place.node.is_running:
             return
         loop = asyncio.get_running_loop()
-        span = self._world.begin(place.number, "stop", planned=True)
-        node, pid, started_s = place.node, place.node.pid, loop.time()
-        node.request_stop()
-        while node.is_running and node.pid == pid:
-            if loop.time() - started_s > GRACE_S + END_SLACK_S:
-                if self._world.record.is_calm(place.number, started_s, loop.time(), planned=False):
-                    self._world.record.ends.append(f"n{place.number} did not end after SIGTERM")
-                node.kill()
-            await asyncio.sleep(POLL_S)
-        place.start_node()
-        self._end(span)
+        with self._world.disturbed(place.number, "stop", planned=True):
+            node, pid, started_s = place.node, place.node.pid, loop.time()
+            node.request_stop()
+            while node.is_running and node.pid == pid:
+                if loop.time() - started_s > GRACE_S + END_SLACK_S:
+                    if self._world.record.is_calm(
+                        place.number, started_s, loop.time(), planned=False
+                    ):
+                        self._world.record.ends.append(f"n{place.number} did not end after SIGTERM")
+                    node.kill()
+                await asyncio.sleep(POLL_S)
+            place.start_node()
 
     async def _pause(self, place: Place, step: Step) -> None:
         if not place.node.is_running:
             return
-        span = self._world.begin(place.number, "pause")
-        pid = place.node.pid
-        place.node.pause()
-        await asyncio.sleep(step.hold_s)
-        if place.node.is_running and place.node.pid == pid:
-            place.node.resume()
-        self._end(span)
+        with self._world.disturbed(place.number, "pause"):
+            pid = place.node.pid
+            place.node.pause()
+            await asyncio.sleep(step.hold_s)
+            if place.node.is_running and place.node.pid == pid:
+                place.node.resume()
 
     async def _reload(self, place: Place, step: Step) -> None:
-        if place.node.is_running and not self._is_starting(place):
-            place.node.signal(signal.SIGHUP)
-
-    def _is_starting(self, place: Place) -> bool:
         # Until the interpreter has loaded the program, a SIGHUP ends it, as it ends any process.
-        log = place.node.read_log()
-        return log.count("event=node-started") < place.lives
+        if place.node.is_running and not place.is_starting():
+            place.node.signal(signal.SIGHUP)
 
     async def _spoil_answers(self, place: Place, step: Step) -> None:
-        span = self._world.begin(place.number, f"answers {step.detail}")
-        place.backend.answer = Answer[step.detail]
-        await asyncio.sleep(step.hold_s)
-        place.backend.answer = Answer.WHOLE
-        self._end(span)
+        with self._world.disturbed(place.number, f"answers {step.detail}"):
+            place.backend.answer = Answer[step.detail]
+            await asyncio.sleep(step.hold_s)
+            place.backend.answer = Answer.WHOLE
 
     async def _replace_backend(self, place: Place, step: Step) -> None:
-        span = self._world.begin(place.number, "backend server replaced")
-        place.backend.replace_process(place.next_instance())
-        await asyncio.sleep(place.backend.plan.heartbeat_ms / 1000)
-        self._end(span)
+        with self._world.disturbed(place.number, "backend server replaced"):
+            place.backend.replace_process(place.next_instance())
+            await asyncio.sleep(place.backend.plan.heartbeat_ms / 1000)
 
     async def _leave(self, place: Place, step: Step) -> None:
         backend = place.backend
@@ -169,23 +158,22 @@
             await asyncio.sleep(POLL_S)
 
     async def _fail_store_calls(self, place: Place, step: Step) -> None:
-        span = self._world.begin(STORE, step.detail)
-        self._store_faults += 1
-        self._world.store.fault = Fault[step.detail]
-        await asyncio.sleep(step.hold_s)
-        self._store_faults -= 1
-        if not self._store_faults:
-            self._world.store.fault = None
-        self._end(span)
+        with self._world.disturbed(STORE, step.detail):
+            self._store_faults += 1
+            self._world.store.fault = Fault[step.detail]
+            await asyncio.sleep(step.hold_s)
+            self._store_faults -= 1
+            if not self._store_faults:
+                self._world.store.fault = None
 
     async def _forget_history(self, place: Place, step: Step) -> None:
-        self._end(self._world.begin(STORE, "history forgotten"))
-        self._world.store.data.drop_history()
+        with self._world.disturbed(STORE, "history forgotten"):
+            self._world.store.data.drop_history()
 
     async def _lapse_leases(self, place: Place, step: Step) -> None:
-        self._end(self._world.begin(STORE, "leases lapsed"))
-        for lease in list(self._world.store.data.leases):
-            self._world.store.data.end_lease(lease)
+        with self._world.disturbed(STORE, "leases lapsed"):
+            for lease in list(self._world.store.data.leases):
+                self._world.store.data.end_lease(lease)
 
     async def _write_version(self, place: Place, step: Step) -> None:
         self._world.write_version()
--- a/packages/testing/src/bamboonotch_testing/soak/_record.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_record.py
@@ -80,6 +80,14 @@
     started_s: float
     ended_s: float = float("inf")
 
+    def overlaps(self, start_s: float, end_s: float) -> bool:
+        """Tell whether it lasts at some moment of a span of time.
+
+        :param start_s: start of the span.
+        :param end_s: end of the span.
+        """
+        return self.started_s <= end_s and self.ended_s >= start_s
+
 
 @dataclass
 class Record:
@@ -121,8 +129,7 @@
         return not any(
             span.target in (str(target), OBSERVER)
             and (planned or not span.planned)
-            and span.started_s <= end_s
-            and span.ended_s >= start_s
+            and span.overlaps(start_s, end_s)
             for span in self.spans
         )
 
@@ -132,7 +139,4 @@
         :param start_s: start of the span.
         :param end_s: end of the span.
         """
-        return not any(
-            not span.planned and span.started_s <= end_s and span.ended_s >= start_s
-            for span in self.spans
-        )
+        return not any(not span.planned and span.overlaps(start_s, end_s) for span in self.spans)
--- a/packages/testing/src/bamboonotch_testing/soak/_run.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_run.py
@@ -24,9 +24,9 @@
 POLL_S = 0.05
 # Load before the first fault, and after the time that the fleet has to recover.
 CALM_S = 1.0
+AFTER_S = 3.0
 # With stalls of 1.4 to 2.4 s, 504s that nodes had sent in time were read 2 s late.
 STALL_S = 0.2
-AFTER_S = 3.0
 
 
 @dataclass(frozen=True)
@@ -83,7 +83,7 @@
 
 async def _wait_until_started(world: World) -> None:
     deadline_s = time.monotonic() + START_TIMEOUT_S
-    while any("event=node-started" not in place.node.read_log() for place in world.places):
+    while any(place.is_starting() for place in world.places):
         if time.monotonic() > deadline_s:
             raise WaitTimeoutError(f"nodes have not started within {START_TIMEOUT_S:g} s")
         await asyncio.sleep(POLL_S)
--- a/packages/testing/src/bamboonotch_testing/soak/_world.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_world.py
@@ -4,22 +4,22 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Iterable
-from contextlib import suppress
+from collections.abc import Awaitable, Iterable, Iterator
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
 
 from bamboonotch_testing.fault_proxy import FaultProxy
-from bamboonotch_testing.fleet._addresses import FleetAddresses
+from bamboonotch_testing.fleet import FleetAddresses
 from bamboonotch_testing.platform_backend import BackendPlan, PlatformBackend
 from bamboonotch_testing.platform_node import NodePlan, PlatformNode
-from bamboonotch_testing.platform_store import PlatformStoreServer
+from bamboonotch_testing.platform_store import CONFIGURED_SERVICES, PlatformStoreServer
 from bamboonotch_testing.soak._record import Record, Span
-from bamboonotch_testing.soak._versions import SERVICES, make_version
+from bamboonotch_testing.soak._versions import make_version
 
-__all__ = ["Place", "World", "as_future"]
+__all__ = ["Place", "World", "as_future", "end_all"]
 
 PLACES = (
     ("bagmati", "ktm-a"),
@@ -59,8 +59,7 @@
 
     def __init__(self, number: int, world: World) -> None:
         self.number = number
-        self.service = SERVICES[number % len(SERVICES)]
-        self._world = world
+        self.service = CONFIGURED_SERVICES[number % len(CONFIGURED_SERVICES)]
         self._instances = 0
         ip = world.addresses.node(number).ip
         region, data_centre = PLACES[number % len(PLACES)]
@@ -77,6 +76,7 @@
         )
         self.node = PlatformNode(plan, world.directory, world.program)
         self.lives = 0
+        self._log_start = 0
         self.peer_link = FaultProxy(world.reactor, self.node.peer_listen, plan.peer_address)
         self.backend = PlatformBackend(
             world.reactor,
@@ -98,8 +98,13 @@
         """Start the node, unless it runs."""
         if not self.node.is_running:
             self.lives += 1
+            self._log_start = len(self.node.read_log())
             self.node.start()
 
+    def is_starting(self) -> bool:
+        """Tell whether the process has not said yet that it has started."""
+        return "event=node-started" not in self.node.read_log()[self._log_start :]
+
     @property
     def links(self) -> tuple[FaultProxy, ...]:
         """The proxies."""
@@ -151,8 +156,9 @@
         self.store.data.put("op/config", make_version(self.version))
         self.record.versions[self.version] = time.monotonic()
 
-    def begin(self, target: int | str, what: str, planned: bool = False) -> Span:
-        """Note that a disturbance begins.
+    @contextmanager
+    def disturbed(self, target: int | str, what: str, planned: bool = False) -> Iterator[None]:
+        """Note a disturbance that lasts as long as the context.
 
         :param target: the store or a node.
         :param what: what happens.
@@ -160,7 +166,10 @@
         """
         span = Span(str(target), what, planned, time.monotonic())
         self.record.spans.append(span)
-        return span
+        try:
+            yield
+        finally:
+            span.ended_s = time.monotonic()
 
     def collect(self) -> Record:
         """Add what the backend servers saw to the record and return it."""
--- a/packages/testing/tests/soak/test_checks.py
+++ b/packages/testing/tests/soak/test_checks.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from bamboonotch_testing.platform_backend import Arrival, BackendPlan, Run, make_body
+from bamboonotch_testing.platform_store import CONFIGURED_SERVICES as SERVICES
 from bamboonotch_testing.soak._checks import CHECKS, find_breaches
 from bamboonotch_testing.soak._defects import DEFECTS
 from bamboonotch_testing.soak._record import OBSERVER, CallRecord, Ending, Record, Span
-from bamboonotch_testing.soak._versions import SERVICES
 
 SENT_S = 100.0
 BODY_BYTES = BackendPlan("", "").body_bytes
