Check forward streams for silence only while they are in use

Cause: each forward stream was pinged twice a second by one end and checked by both, used or not. A node keeps up to 12 owners for each service, so with 195 nodes and three services it exchanged about 144 frames a second to carry 8 requests. The cost followed the number of owners, not the load.

Ruled out: longer intervals between pings, which would notice a silent connection later; closing streams sooner, which costs a connection for each return.

A stream at rest has no pings and no short timer. Its next use starts a ping and the count of its silence. The owner drops a stream whose peer vanished after 60 s.

--- a/packages/node/src/bamboonotch_node/forwarding/_client.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_client.py
@@ -188,6 +188,7 @@
     def _bind(self, attempt: IncomingAttempt, stream: OwnerStream) -> None:
         attempt_id = attempt.effect.attempt_id
         stream.attempts[attempt_id] = attempt
+        stream.frames.note_use()
         attempt.on_ended = lambda: stream.release(attempt_id)
 
         def return_credit(size_bytes: int) -> None:
--- a/packages/node/src/bamboonotch_node/forwarding/_pool.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_pool.py
@@ -46,7 +46,9 @@
         self._waiting: list[Callable[[], None]] = []
         self._channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
         self._call: Any = pb_grpc.NodeStub(self._channel).Forward()
-        self.frames = FrameStream(identity, self._call.read, self._call.write)
+        self.frames = FrameStream(
+            identity, self._call.read, self._call.write, lambda: bool(self.attempts)
+        )
 
     async def run(self) -> str:
         """Carry frames until the stream ends and return the reason."""
--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import grpc
@@ -131,15 +131,24 @@
     """One stream from one ingress node.
 
     :param server: the server.
-    :param frames: the stream.
+    :param read: reads one frame.
+    :param write: writes one frame.
     """
 
-    def __init__(self, server: ForwardingServer, frames: FrameStream) -> None:
+    def __init__(
+        self,
+        server: ForwardingServer,
+        read: Callable[[], Awaitable[Any]],
+        write: Callable[[Any], Awaitable[Any]],
+    ) -> None:
         self._server = server
-        self._frames = frames
+        self.frames = FrameStream(server.identity, read, write, self._in_use)
         self._sinks: dict[str, _StreamSink] = {}
         self._partial: dict[str, _PartialRequest] = {}
 
+    def _in_use(self) -> bool:
+        return bool(self._sinks or self._partial)
+
     def received(self, frame: pb.ForwardFrame) -> None:
         """Take a frame.
 
@@ -213,7 +222,7 @@
     def _return_credit(self, attempt_id: str, size_bytes: int) -> None:
         if size_bytes:
             credit = pb.Credit(attempt_id=attempt_id, size_bytes=size_bytes)
-            self._frames.send(pb.ForwardFrame(credit=credit))
+            self.frames.send(pb.ForwardFrame(credit=credit))
 
     def _drop_partial(self, attempt_id: str) -> None:
         partial = self._partial.pop(attempt_id, None)
@@ -229,7 +238,7 @@
             reason=reason,
             load=max(0, self._server.owner.load()),
         )
-        self._frames.send(pb.ForwardFrame(refusal=refusal))
+        self.frames.send(pb.ForwardFrame(refusal=refusal))
 
     def _offer(self, head: pb.RequestHead, body: bytes) -> None:
         try:
@@ -251,7 +260,7 @@
         self._server.owner.offer(work, self._new_sink(head.attempt_id), replayable=True)
 
     def _new_sink(self, attempt_id: str) -> _StreamSink:
-        sink = _StreamSink(attempt_id, self._frames, self._release)
+        sink = _StreamSink(attempt_id, self.frames, self._release)
         self._sinks[attempt_id] = sink
         return sink
 
@@ -281,7 +290,7 @@
             reply = pb.FenceReply(
                 attempt_id=attempt_id, fence_id=fence_id, state=encode_fence_state(state)
             )
-            self._frames.send(pb.ForwardFrame(fence_reply=reply))
+            self.frames.send(pb.ForwardFrame(fence_reply=reply))
 
         self._server.owner.fence(attempt_id, fence_id, sink, answer)
 
@@ -313,7 +322,7 @@
         self.max_attempts = settings.requests.max_requests
         self._body_bytes = 0
         self._streams: set[FrameStream] = set()
-        self._identity = StreamIdentity(
+        self.identity = StreamIdentity(
             node_id=settings.identity.node_id,
             incarnation=incarnation,
             silent_ms=settings.requests.stream_silent_ms,
@@ -331,8 +340,8 @@
         # Otherwise the first write carries the metadata. When a bad first frame cancels that write,
         # grpcio sends them again, which fails, and the peer never learns that the call has ended.
         await context.send_initial_metadata(())
-        frames = FrameStream(self._identity, context.read, context.write)
-        stream = _ServerStream(self, frames)
+        stream = _ServerStream(self, context.read, context.write)
+        frames = stream.frames
         self._streams.add(frames)
         try:
             reason = await frames.run(lambda peer: None, stream.received)
--- a/packages/node/src/bamboonotch_node/forwarding/_stream.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_stream.py
@@ -17,6 +17,9 @@
 __all__ = ["FrameStream", "PeerName", "StreamIdentity"]
 
 PING_INTERVAL_S = 0.5
+# A stream at rest costs neither pings nor a timer of its own. The end that opened it closes it when
+# it stays unused; the other end closes it after this time, in case that end has lost its power.
+REST_LIMIT_S = 60.0
 MAX_NODE_ID_CHARACTERS = 128
 
 
@@ -51,9 +54,13 @@
 class FrameStream:
     """Reads, writes and watches one gRPC stream until it ends.
 
+    A stream is checked for silence only while it is in use, so that the cost of streams follows the
+    requests and not the number of owners.
+
     :param identity: this end.
     :param read: reads one frame, or ``grpc.aio.EOF``.
     :param write: writes one frame.
+    :param in_use: whether work is in progress on the stream.
     """
 
     def __init__(
@@ -61,12 +68,15 @@
         identity: StreamIdentity,
         read: Callable[[], Awaitable[Any]],
         write: Callable[[Any], Awaitable[Any]],
+        in_use: Callable[[], bool],
     ) -> None:
         self.outbox = Outbox()
         self.peer: PeerName | None = None
         self._identity = identity
         self._read = read
         self._write = write
+        self._in_use = in_use
+        self._resting = False
         self._loop = asyncio.get_running_loop()
         self._closed: asyncio.Future[str] = self._loop.create_future()
         self._heard_s = self._loop.time()
@@ -91,6 +101,18 @@
         except MessageError as error:
             self.close(f"bad-frame: {error}")
 
+    def note_use(self) -> None:
+        """Check the stream for silence again, because the end that pings begins to use it."""
+        if not self._resting or self._closed.done():
+            return
+        self._resting = False
+        # The silence of a stream at rest says nothing about the connection.
+        self._heard_s = self._loop.time()
+        if self._check is not None:
+            self._check.cancel()
+        self._schedule_check()
+        self._ping()
+
     async def wait_closed(self) -> str:
         """Wait until the stream is to end and return the reason."""
         return await asyncio.shield(self._closed)
@@ -127,6 +149,8 @@
                     self.close("closed-by-peer")
                     return
                 self._heard_s = self._loop.time()
+                if not self._identity.pings:
+                    self.note_use()
                 if self.peer is None:
                     self.peer = self._read_hello(frame)
                     opened(self.peer)
@@ -181,6 +205,9 @@
 
     def _check_life(self) -> None:
         now_s = self._loop.time()
+        if self._resting:
+            self.close("unused")
+            return
         silent_s = self._identity.silent_ms / 1000
         if now_s - self._due_s > PING_INTERVAL_S:
             # This process stalled; frames that arrived meanwhile have not been read yet.
@@ -188,7 +215,14 @@
         if now_s - self._heard_s > silent_s:
             self.close("silent")
             return
+        if self.peer is not None and not self._in_use():
+            self._resting = True
+            self._check = self._loop.call_later(REST_LIMIT_S, self._check_life)
+            return
+        self._ping()
+        self._schedule_check()
+
+    def _ping(self) -> None:
         if self._identity.pings and self.peer is not None:
             self._ping_number += 1
             self.send(pb.ForwardFrame(ping=pb.Ping(number=self._ping_number)))
-        self._schedule_check()
