Never take a copy of an earlier refusal for a refusal of this request

Reports of other operators: a faulty backend server wrote an earlier refusal once more on a kept connection, and a server sent a second copy of an answer.

Now a refusal is proof only if it names the request and the request was not refused before on the same connection, or if nothing else was sent on it. Without ids, a connection is closed after a refusal. Anything unasked closes its connection and is reported.

Ruled out: closing every connection after a refusal; with ids it is not needed.

--- a/packages/node/src/bamboonotch_node/backend/_connections.py
+++ b/packages/node/src/bamboonotch_node/backend/_connections.py
@@ -16,6 +16,7 @@
 
 from bamboonotch_core.effects import Report
 from bamboonotch_core.errors import BamboonotchError
+from bamboonotch_node.backend._work import MAX_RESPONSE_HEADER_BYTES
 
 __all__ = ["BackendConnections", "ConnectionsExhaustedError"]
 
@@ -35,6 +36,9 @@
 # The slots of a backend server bound the requests in progress. Aborted requests may leave further
 # connections open for a while; this limit bounds the total.
 MAX_CONNECTIONS = 512
+# Bytes read until the head of a response is complete, interim responses included. A head may be
+# read together with the start of its body, so this is several times the limit of a head.
+MAX_HEAD_BYTES = 4 * MAX_RESPONSE_HEADER_BYTES
 
 
 class ConnectionsExhaustedError(BamboonotchError):
@@ -56,8 +60,49 @@
         self.address = address
         self.closed_cleanly = False
         self.idle_s = 0.0
+        self.requests_sent = 0
+        self.refused_request_id = ""
+        self.received_unasked = False
+        self._head_bytes: int | None = None
         self._pool = pool
 
+    def request(self, request: Any) -> Any:
+        """Send a request.
+
+        :param request: Twisted's request.
+        :returns: a ``Deferred`` of the response.
+        """
+        self.requests_sent += 1
+        self._head_bytes = 0
+        return super().request(request)
+
+    def note_head(self) -> None:
+        """Note that the head of the response is complete."""
+        self._head_bytes = None
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read, unless nothing was asked for or the head has no end.
+
+        :param data: bytes from the backend server.
+        """
+        if self.state == "QUIESCENT":
+            self.received_unasked = True
+            self._pool.report_unasked_bytes(self)
+            self.transport.abortConnection()
+            return
+        if self._head_bytes is not None:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self.transport.abortConnection()
+                return
+        super().dataReceived(data)
+
+    def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
+        # Twisted ignores what follows a response in the same segment.
+        if rest:
+            self.received_unasked = True
+        super()._finishResponse(rest)
+
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Remove the connection from the pool.
 
@@ -117,11 +162,13 @@
         self._reduced_idle_limit_s = IDLE_TIMEOUT_S
         self._limit_reduced_until_s = 0.0
 
-    def take_idle(self, address: str, idempotent: bool) -> Any | None:
+    def take_idle(self, address: str, idempotent: bool, request_id: str) -> Any | None:
         """Take an open idle connection out of the pool.
 
         :param address: ``ip:port`` of the backend server.
         :param idempotent: whether the request may be sent again when the connection breaks.
+        :param request_id: the request; a connection on which it was refused before is not used,
+            because a copy of that refusal would look like one of this send.
         :returns: the connection, or ``None`` when there is none below the idle limit.
         """
         self._set_address(address)
@@ -132,7 +179,7 @@
         # The last entry has been idle for the shortest time.
         while self._idle and now_s - self._idle[-1][0] < limit_s:
             idle_since_s, connection = self._idle.pop()
-            if _is_open(connection):
+            if connection.refused_request_id != request_id and _is_open(connection):
                 connection.idle_s = now_s - idle_since_s
                 return connection
             connection.transport.abortConnection()
@@ -182,11 +229,20 @@
         if connection.address != self._address:
             connection.transport.loseConnection()
             return
+        if connection.received_unasked:
+            self.report_unasked_bytes(connection)
+            connection.transport.abortConnection()
+            return
         loop = asyncio.get_running_loop()
         self._idle.append((loop.time(), connection))
         if self._idle_check_timer is None:
             self._idle_check_timer = loop.call_later(IDLE_CHECK_INTERVAL_S, self._close_expired)
 
+    def report_unasked_bytes(self, connection: Any) -> None:
+        """Report bytes that belong to no request; their connection is not used again."""
+        fields = (("address", connection.address), ("requests", connection.requests_sent))
+        self._report(Report("backend-sent-unasked-bytes", fields))
+
     def remove(self, connection: Any) -> None:
         """Remove a lost connection from the count of open connections."""
         self._open.discard(connection)
--- a/packages/node/src/bamboonotch_node/backend/_exchange.py
+++ b/packages/node/src/bamboonotch_node/backend/_exchange.py
@@ -164,7 +164,9 @@
         """Obtain a connection and send the request."""
         remaining_s = (self._work.deadline_ms - self._started_ms) / 1000
         self._timer = asyncio.get_running_loop().call_later(remaining_s, self._deadline_passed)
-        connection = self._connections.take_idle(self._address, self._work.idempotent)
+        connection = self._connections.take_idle(
+            self._address, self._work.idempotent, self._find_request_id()
+        )
         if connection is not None:
             self._connected(connection)
             return
@@ -214,6 +216,14 @@
             # this node and the backend server has lost its connection state.
             self._connections.close_idle()
 
+    def _find_request_id(self) -> str:
+        """Return the id that the request has at the backend server."""
+        name = self._dialect.request_id
+        for header, value in self._work.request.headers:
+            if header.encode("latin-1").lower() == name:
+                return value
+        return self._work.request.request_id
+
     def _connect_failed(self, failure: Any) -> None:
         self._finish(BackendResult.UNREACHABLE)
 
@@ -265,12 +275,17 @@
     def _head_received(self, response: Any) -> None:
         if self._finished:
             return
+        self._connection.note_head()
         self._body_protocol = _BodyProtocol(self)
         of_other_request = self._dialect.is_of_other_request(
             self._sent_request_id, response.headers
         )
         if not of_other_request and self._dialect.is_not_run(response.code, response.headers):
-            self._discard_refusal(response)
+            if self._is_refusal_of_this_send(response):
+                self._discard_refusal(response)
+            else:
+                self._body_protocol = None
+                self.abort()
             return
         if of_other_request or not self._dialect.has_proof(response.headers):
             self._body_protocol = None
@@ -295,11 +310,26 @@
         if self._paused:
             self.pause()
 
+    def _is_refusal_of_this_send(self, response: Any) -> bool:
+        """Return whether a refusal cannot be a copy of one that was written before.
+
+        One without a request id may be any on a connection that has carried other requests.
+        """
+        if self._dialect.names_request(response.headers):
+            return True
+        return self._connection.requests_sent == 1 or not self._dialect.echoes_request_id
+
     def _discard_refusal(self, response: Any) -> None:
         """Read the body of a refusal to its end, so that the connection can be reused.
 
         :param response: Twisted's response, which says that the request was not run.
         """
+        self._connection.refused_request_id = self._sent_request_id
+        if not self._dialect.echoes_request_id:
+            # A copy of the refusal, written later, could not be told from one of the next request.
+            self._connection.transport.abortConnection()
+            self._finish(BackendResult.NOT_RUN)
+            return
         self._finish(BackendResult.NOT_RUN)
         self._timer = asyncio.get_running_loop().call_later(
             REFUSAL_BODY_TIMEOUT_S, self._connection.transport.abortConnection
--- a/packages/node/src/bamboonotch_node/dialect.py
+++ b/packages/node/src/bamboonotch_node/dialect.py
@@ -84,6 +84,13 @@
         values = headers.getRawHeaders(self.request_id, [])
         return bool(values) and values != [request_id.encode("latin-1")]
 
+    def names_request(self, headers: Any) -> bool:
+        """Tell whether a response names the request that it belongs to.
+
+        :param headers: the library's headers.
+        """
+        return self.echoes_request_id and headers.hasHeader(self.request_id)
+
     def has_proof(self, headers: Any) -> bool:
         """Tell whether a response was made by a backend server's work.
 
