Work on pipelined requests of a caller at the same time

Some callers send further safe requests before the first is answered. The channel of twisted.web parsed the next request only after the answer, so each waited for all before it.

Up to eight requests of a connection are worked on at once; reading stops beyond that. Requests other than GET and HEAD are handed on only when it is their turn, so none has run when a connection breaks off. Nothing is read behind a request that closes the connection or behind a planned stop. Errors of malformed input come after the good answers before them.

Ruled out: a parser library in place of the channel. The channel can go on parsing while requests are in progress; only the order of writing was missing, which one class adds.

--- a/packages/node/src/bamboonotch_node/http_ingress/_channel.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_channel.py
@@ -9,6 +9,7 @@
 from zope.interface import provider
 
 from bamboonotch_node.http_ingress._answer import encode_answer
+from bamboonotch_node.http_ingress._turn import ResponseTurn
 
 if TYPE_CHECKING:
     from bamboonotch_node.http_ingress._ingress import HttpIngress
@@ -18,6 +19,11 @@
 # How long a refused caller may go on sending. Closing at once would reset the connection, and the
 # caller would not see the answer.
 LINGER_S = 2.0
+# Requests of one connection that are worked on at once; what follows is read when one is answered.
+MAX_REQUESTS_AT_ONCE = 8
+# Callers send these without waiting for the answers before them. Any other request is handed on
+# when those are sent, so that a connection that closes early has not run it.
+METHODS_AHEAD = frozenset({b"GET", b"HEAD"})
 
 
 @provider(http.INonQueuedRequestFactory)
@@ -28,9 +34,14 @@
     """
 
     def __init__(self, channel: CallerChannel) -> None:
-        super().__init__(channel, parsePOSTFormSubmission=False)
+        turn = ResponseTurn(channel, is_first=not channel.requests)
+        super().__init__(turn, parsePOSTFormSubmission=False)
+        self.turn = turn
         self.ingress: HttpIngress = channel.factory.ingress
         self.request_id = ""
+        self.keeps_open = True
+        self.is_read = False
+        self.is_handed_on = False
         self.body_size_bytes = 0
         self._pieces: list[bytes] = []
         self._refused = False
@@ -73,9 +84,26 @@
         :param path: the request target.
         :param version: the version of HTTP.
         """
+        self.is_read = True
         if self._refused:
             return
         self.method, self.uri, self.clientproto = command, path, version
+        if self.may_overtake or not self.turn.is_waiting:
+            self._hand_on()
+
+    @property
+    def may_overtake(self) -> bool:
+        """Whether the request may be worked on while requests before it are."""
+        return self.method in METHODS_AHEAD
+
+    def take_turn(self) -> None:
+        """Note that every request before this one is answered."""
+        self.turn.take()
+        if self.is_read and not self._refused and not self.is_handed_on:
+            self._hand_on()
+
+    def _hand_on(self) -> None:
+        self.is_handed_on = True
         self.ingress.request_received(self)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
@@ -89,7 +117,7 @@
 
     def close_after_response(self) -> None:
         """Tell the caller that its connection closes after the response, and close it then."""
-        self.channel.persistent = False
+        self.keeps_open = False
         self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
     def release_body(self) -> None:
@@ -108,11 +136,16 @@
     """A connection from a caller."""
 
     requestFactory = CallerHttpRequest  # noqa: N815
+    requests: list[CallerHttpRequest]
+    _handlingRequest: bool  # noqa: N815
+    _dataBuffer: list[bytes]  # noqa: N815
 
     def __init__(self) -> None:
         super().__init__()
         self.write_paused = False
         self._refused = False
+        self._refusal_due: tuple[int, str] | None = None
+        self._continue_due = False
         self._linger: asyncio.TimerHandle | None = None
         self._head_timer: asyncio.TimerHandle | None = None
 
@@ -127,14 +160,52 @@
         self.totalHeadersSize = settings.max_header_bytes
         self.timeOut = settings.idle_timeout_ms / 1000
 
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Keep with the request whether its connection stays open after it."""
+        request = self.requests[-1]
+        super().allHeadersReceived()
+        request.keeps_open = request.keeps_open and self.persistent
+
+    def allContentReceived(self) -> None:  # noqa: N802
+        """Hand the request on, and read the next one if it may overtake."""
+        super().allContentReceived()
+        self._read_ahead()
+
+    def _read_ahead(self) -> None:
+        """Go on reading while the requests read so far are worked on, within the bounds."""
+        if not self._handlingRequest or self._refused or not self.requests:
+            return
+        last = self.requests[-1]
+        ahead = last.is_read and last.keeps_open and last.may_overtake
+        if ahead and len(self.requests) < MAX_REQUESTS_AT_ONCE:
+            self._handlingRequest = False
+            data = b"".join(self._dataBuffer)
+            self._dataBuffer = []
+            self.setLineMode(data)
+
     def requestDone(self, request: Any) -> None:  # noqa: N802
-        """Apply the limits anew, which may be those of a newer configuration.
+        """Let the next request have its turn, or wait for one.
 
         :param request: the request that was answered.
         """
-        self._apply_limits()
-        self._savedTimeOut = self.timeOut
-        super().requestDone(request)
+        self.persistent = request.keeps_open
+        if len(self.requests) == 1 or not request.keeps_open:
+            # The limits may be those of a newer configuration.
+            self._apply_limits()
+            self._savedTimeOut = self.timeOut
+            super().requestDone(request)
+            self._refuse_if_due()
+            return
+        del self.requests[0]
+        following = self.requests[0]
+        if not following.is_read:
+            self.setTimeout(self._savedTimeOut)
+        following.take_turn()
+        if self._continue_due and not following.is_read:
+            self._continue_due = False
+            super()._send100Continue()
+        self._refuse_if_due()
+        self._read_ahead()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read, and bound the time that the head of a request takes.
@@ -202,7 +273,17 @@
         if self._refused:
             return
         self._refused = True
+        self._refusal_due = (status, reason)
         self._stop_head_timer()
+        self._refuse_if_due()
+
+    def _refuse_if_due(self) -> None:
+        """Write a refusal, once every request before the one that it is for is answered."""
+        unanswered = [request for request in self.requests if request.is_handed_on]
+        if self._refusal_due is None or unanswered or self.transport.disconnecting:
+            return
+        status, reason = self._refusal_due
+        self._refusal_due = None
         self.factory.ingress.input_refused(status, reason)
         self.setTimeout(None)
         self._linger = asyncio.get_running_loop().call_later(
@@ -212,7 +293,12 @@
         self.transport.loseWriteConnection()
 
     def _send100Continue(self) -> None:  # noqa: N802
-        if not self._refused:
+        if self._refused:
+            return
+        if len(self.requests) > 1:
+            # It would stand in the middle of the response before it.
+            self._continue_due = True
+        else:
             super()._send100Continue()
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
--- a/packages/node/src/bamboonotch_node/http_ingress/_response.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_response.py
@@ -63,7 +63,7 @@
         headers.setRawHeaders(b"Bamboonotch-Outcome", [b"done"])
         headers.setRawHeaders(b"Bamboonotch-Version", [b"%d" % self._version])
         http_request.registerProducer(self, True)
-        if http_request.channel.write_paused:
+        if http_request.channel.write_paused and not http_request.turn.is_waiting:
             self._attempt.pause()
 
     def _declare_length(self, value: str, status: int) -> None:
@@ -94,7 +94,7 @@
         self._http.unregisterProducer()
         if not complete:
             # Any orderly end could be taken for the end of the body.
-            self._http.channel.transport.abortConnection()
+            self._http.turn.break_off()
         self._ended(complete, self._written_bytes)
         if complete:
             self._http.finish()
