--- a/packages/core/src/bamboonotch_core/documents/__init__.py
+++ b/packages/core/src/bamboonotch_core/documents/__init__.py
@@ -1,6 +1,7 @@
 """Decides which version a node runs when an external source accepts whole documents."""
 
-from bamboonotch_core.documents._reducer import WATCH_DOCUMENT, reduce_documents
+from bamboonotch_core.documents._reading import WATCH_DOCUMENT
+from bamboonotch_core.documents._reducer import reduce_documents
 from bamboonotch_core.documents._state import DocumentState, make_document_state
 
 __all__ = ["WATCH_DOCUMENT", "DocumentState", "make_document_state", "reduce_documents"]
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/documents/_reading.py
@@ -0,0 +1,168 @@
+"""When this node reads the store itself.
+
+The store readers of a region keep a watch on the document. Heartbeats carry, from neighbour to
+neighbour, until when the version that a node holds is known to be the newest. A node that has not
+learned this for longer than a heartbeat takes through its region reads the store itself, whatever
+has happened to the readers.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from bamboonotch_core.documents._state import Confirmation, DocumentReading, DocumentState
+from bamboonotch_core.documents._step import Step
+from bamboonotch_core.effects import WatchDocument
+from bamboonotch_core.events import StoreReadFailed
+from bamboonotch_core.messages import Heartbeat
+
+__all__ = [
+    "SETTLE_MS",
+    "WATCH_DOCUMENT",
+    "advance_reading",
+    "delay_read_in_burst",
+    "note_read_failure",
+    "note_store_answer",
+    "take_confirmation",
+]
+
+WATCH_DOCUMENT = "watch-document"
+# Delay before the read after the first failure; it doubles with each consecutive failure.
+MIN_BACKOFF_MS = 100.0
+MAX_BACKOFF_MS = 800.0
+# The same limit for nodes that are no readers: an outage makes every node read at the same time.
+MAX_OTHERS_BACKOFF_MS = 3000.0
+# Pause between reads while the source has no document or has dropped its history.
+ABSENT_DOCUMENT_PAUSE_MS = 100.0
+# A watch answers with the whole document at each change. When BURST_CHANGES versions come within
+# BURST_MS, the next read is delayed and skips versions in between, so that the watches of the
+# readers do not saturate the link to the store.
+BURST_CHANGES = 3
+BURST_MS = 2000.0
+# Less than a quarter of 3 s, the shortest time limit within which a version must take effect.
+BURST_PAUSE_MS = 700.0
+# When a whole region starts, every node is a reader of the few members that it knows, and the
+# document would cross the link to the store once for each node. So a node that starts reads the
+# store when it has known its peers for SETTLE_MS and still is a reader. The others read at a time
+# that depends on their ids, unless a peer brings the document first: a small share early, so that
+# the first documents are there when the peers ask; the rest late.
+SETTLE_MS = 700.0
+EARLY_SHARE = 0.03
+EARLY_SPREAD_MS = 300.0
+ALONE_START_MS = 1500.0
+ALONE_SPREAD_MS = 3000.0
+# The readers of the region have had time for a transfer over a slow link before the others begin.
+LINKED_START_MS = 6000.0
+LINKED_SPREAD_MS = 12_000.0
+# How long a node that starts waits for the document of a peer that holds one.
+START_PEER_WAIT_MS = 1000.0
+# Span over which the nodes that miss a confirmation at the same time begin to read.
+STALE_SPREAD_MS = 500.0
+
+
+def advance_reading(step: Step) -> None:
+    """Start a read when this node is to read and none is in progress."""
+    reading = step.state.reading
+    if reading.pending or step.now_ms < reading.not_before_ms or not _is_read_due(step):
+        return
+    revision = reading.revision
+    if reading.may_use_confirmed:
+        revision = max(revision, step.state.confirmation.revision)
+    wait_ms = step.state.settings.store.watch_ms if revision else 0
+    step.update_reading(pending=True)
+    step.effects.append(WatchDocument(revision, wait_ms))
+
+
+def _is_read_due(step: Step) -> bool:
+    confirmed_ms = step.state.confirmation.confirmed_ms
+    if confirmed_ms is None:
+        return _is_start_read_due(step)
+    return step.is_store_reader or step.now_ms - confirmed_ms >= _stale_after_ms(step)
+
+
+def _is_start_read_due(step: Step) -> bool:
+    state = step.state
+    behind_ms = state.behind_since_ms
+    if behind_ms is not None and step.now_ms - behind_ms < START_PEER_WAIT_MS:
+        return False
+    started_ms = step.now_ms if state.started_ms is None else state.started_ms
+    share = _share_of_node(state)
+    if share < EARLY_SHARE:
+        return step.now_ms >= started_ms + EARLY_SPREAD_MS * share / EARLY_SHARE
+    if state.linked_ms is None:
+        return step.now_ms >= started_ms + ALONE_START_MS + ALONE_SPREAD_MS * share
+    if step.is_store_reader and step.now_ms >= state.linked_ms + SETTLE_MS:
+        return True
+    return step.now_ms >= started_ms + LINKED_START_MS + LINKED_SPREAD_MS * share
+
+
+def _stale_after_ms(step: Step) -> float:
+    """Return the age of a confirmation beyond which it cannot be on its way any more."""
+    state = step.state
+    region = state.settings.identity.region
+    neighbours = sum(link.region == region for link in step.links.values())
+    # A ring member has as many successors as predecessors, and one hop for each suffices.
+    hops = 1 + neighbours // 2
+    longest_ms = state.settings.store.watch_ms + hops * (
+        state.settings.membership.heartbeat_interval_ms
+    )
+    return longest_ms + STALE_SPREAD_MS * _share_of_node(state)
+
+
+def _share_of_node(state: DocumentState) -> float:
+    """Return a number from 0 to 1 that differs between nodes."""
+    digest = blake2b(state.settings.identity.node_id.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") / 2**32
+
+
+def note_store_answer(step: Step, revision: int) -> None:
+    """Take note of an answer of the store.
+
+    :param revision: the store's revision; 0 when the next read must not wait for a change.
+    """
+    if not step.state.store_reachable:
+        step.report("store-regained", held_version=step.state.held_version)
+        step.update(store_reachable=True)
+    if revision:
+        step.update(confirmation=Confirmation(revision, step.now_ms))
+        step.update(reading=DocumentReading(revision))
+        return
+    # Without a revision a read does not wait for a change, so a pause separates the reads.
+    not_before_ms = step.now_ms + ABSENT_DOCUMENT_PAUSE_MS
+    step.update(reading=DocumentReading(may_use_confirmed=False, not_before_ms=not_before_ms))
+
+
+def note_read_failure(step: Step, event: StoreReadFailed) -> None:
+    """Back off after a read without an answer."""
+    failures = step.state.reading.failures + 1
+    limit_ms = MAX_BACKOFF_MS if step.is_store_reader else MAX_OTHERS_BACKOFF_MS
+    wait_ms = min(limit_ms, MIN_BACKOFF_MS * 2 ** min(failures - 1, 10))
+    # The source may have dropped the history after the revision, so the next read does not wait.
+    reading = DocumentReading(
+        may_use_confirmed=False, failures=failures, not_before_ms=step.now_ms + wait_ms
+    )
+    if step.state.store_reachable:
+        step.report("store-lost", reason=event.reason, held_version=step.state.held_version)
+    step.update(reading=reading, store_reachable=False)
+
+
+def delay_read_in_burst(step: Step) -> None:
+    """Delay the next read after ``BURST_CHANGES`` changes within ``BURST_MS``."""
+    change_times_ms = (*step.state.change_times_ms, step.now_ms)[-BURST_CHANGES:]
+    step.update(change_times_ms=change_times_ms)
+    if len(change_times_ms) == BURST_CHANGES and step.now_ms - change_times_ms[0] < BURST_MS:
+        step.update(
+            reading=DocumentReading(
+                may_use_confirmed=False, not_before_ms=step.now_ms + BURST_PAUSE_MS
+            )
+        )
+
+
+def take_confirmation(step: Step, heartbeat: Heartbeat) -> None:
+    """Take over a peer's confirmation if it also holds for the version held here."""
+    if heartbeat.confirmed_age_ms is None or heartbeat.held_version > step.state.held_version:
+        return
+    confirmed_ms = step.now_ms - heartbeat.confirmed_age_ms
+    known_ms = step.state.confirmation.confirmed_ms
+    if known_ms is None or confirmed_ms > known_ms:
+        step.update(confirmation=Confirmation(heartbeat.confirmed_revision, confirmed_ms))
--- a/packages/core/src/bamboonotch_core/documents/_state.py
+++ b/packages/core/src/bamboonotch_core/documents/_state.py
@@ -14,7 +14,13 @@
 )
 from bamboonotch_core.settings import NodeSettings
 
-__all__ = ["DocumentReading", "DocumentState", "EncodedDocument", "make_document_state"]
+__all__ = [
+    "Confirmation",
+    "DocumentReading",
+    "DocumentState",
+    "EncodedDocument",
+    "make_document_state",
+]
 
 
 @dataclass(frozen=True)
@@ -23,16 +29,33 @@
 
     :param revision: the read waits for a revision of the source after this one; 0 reads at once.
     :param pending: whether a read is in progress.
+    :param may_use_confirmed: whether the read may wait for a revision after the confirmed one
+        instead; not when the source has dropped its history, or when a whole read is wanted.
     :param failures: consecutive reads that failed.
     :param not_before_ms: earliest start of the next read, on the monotonic clock in milliseconds.
     """
 
     revision: int = 0
     pending: bool = False
+    may_use_confirmed: bool = True
     failures: int = 0
     not_before_ms: float = 0.0
 
 
+@dataclass(frozen=True)
+class Confirmation:
+    """What is known of how current the held version is.
+
+    :param revision: revision of the source as of which the held version was the newest; 0 if that
+        is not known.
+    :param confirmed_ms: when the source stated that, on the monotonic clock in milliseconds, or
+        ``None``.
+    """
+
+    revision: int = 0
+    confirmed_ms: float | None = None
+
+
 @dataclass(frozen=True)
 class EncodedDocument:
     """A document encoded for peers.
@@ -70,6 +93,10 @@
     :param behind_since_ms: since when a peer is known to hold a newer version, in milliseconds, or
         ``None``.
     :param last_request_ms: when a version was last requested from a peer, in milliseconds.
+    :param last_request_link: link id of that peer, or empty.
+    :param started_ms: when this process took its first event, in milliseconds, or ``None``.
+    :param linked_ms: since when this node has had peers, in milliseconds, or ``None`` without any.
+    :param confirmation: how current the held version is.
     :param refused: versions whose documents were invalid, oldest first.
     """
 
@@ -89,6 +116,10 @@
     peer_versions: Map[str, int] = Map()
     behind_since_ms: float | None = None
     last_request_ms: float = float("-inf")
+    last_request_link: str = ""
+    started_ms: float | None = None
+    linked_ms: float | None = None
+    confirmation: Confirmation = Confirmation()
     refused: tuple[int, ...] = ()
 
     @property
--- a/packages/core/src/bamboonotch_core/membership/_exchange.py
+++ b/packages/core/src/bamboonotch_core/membership/_exchange.py
@@ -29,6 +29,9 @@
     "send_heartbeats",
 ]
 
+# Largest age that a heartbeat can state: the field has 32 bits.
+MAX_AGE_MS = 2**32 - 1
+
 _DEAD_RANK = state_rank(MemberState.DEAD)
 
 
@@ -36,7 +39,14 @@
     """Send a heartbeat on one link."""
     versions = step.versions
     digest = step.state.directory.digest
-    heartbeat = Heartbeat(versions.held_version, versions.running_version, digest, versions.serving)
+    heartbeat = Heartbeat(
+        versions.held_version,
+        versions.running_version,
+        digest,
+        versions.serving,
+        versions.confirmed_revision,
+        _age_ms(versions.confirmed_ms, step.now_ms),
+    )
     step.send(link, heartbeat)
 
 
@@ -54,6 +64,12 @@
     step.change_schedule(next_heartbeat_ms=next_ms)
 
 
+def _age_ms(since_ms: float | None, now_ms: float) -> int | None:
+    if since_ms is None:
+        return None
+    return min(MAX_AGE_MS, max(0, round(now_ms - since_ms)))
+
+
 def send_digests(step: Step, link: Link) -> None:
     """Send the digest of each data centre on one link."""
     step.send(link, MemberDigests(tuple(sorted(step.state.directory.digests.items()))))
--- a/packages/core/src/bamboonotch_core/membership/_state.py
+++ b/packages/core/src/bamboonotch_core/membership/_state.py
@@ -42,11 +42,16 @@
     :param held_version: newest configuration version that this node holds.
     :param running_version: configuration version that this node runs.
     :param serving: whether this node may serve requests.
+    :param confirmed_revision: revision of the store as of which the held version was the newest.
+    :param confirmed_ms: when the store stated that, on the monotonic clock in milliseconds, or
+        ``None``.
     """
 
     held_version: int = 0
     running_version: int = 0
     serving: bool = False
+    confirmed_revision: int = 0
+    confirmed_ms: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/messages.py
+++ b/packages/core/src/bamboonotch_core/messages.py
@@ -41,12 +41,17 @@
     :param running_version: version that the sender runs.
     :param membership_digest: 64-bit digest of the sender's membership map.
     :param serving: whether the sender serves requests.
+    :param confirmed_revision: revision of the store as of which the held version was the newest; 0
+        while that is not known.
+    :param confirmed_age_ms: time since the store stated that, in milliseconds, or ``None``.
     """
 
     held_version: int
     running_version: int
     membership_digest: int
     serving: bool
+    confirmed_revision: int = 0
+    confirmed_age_ms: int | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -110,12 +110,28 @@
 
 
 def _local_versions(state: NodeState) -> LocalVersions:
-    distribution = state.distribution
+    return _versions_of(state.distribution)
+
+
+@singledispatch
+def _versions_of(distribution: DistributionState | DocumentState) -> LocalVersions:
+    """Return what membership tells peers of the versions here."""
     return LocalVersions(
         distribution.held_version, distribution.running_version, distribution.serving
     )
 
 
+@_versions_of.register
+def _(distribution: DocumentState) -> LocalVersions:
+    return LocalVersions(
+        distribution.held_version,
+        distribution.running_version,
+        distribution.serving,
+        distribution.confirmation.revision,
+        distribution.confirmation.confirmed_ms,
+    )
+
+
 def _update_table(before: NodeState, after: NodeState) -> NodeState:
     """Rebuild the routing table when the running version or the usable members changed."""
     distribution = after.distribution
--- /dev/null
+++ b/packages/core/tests/documents/test_readers.py
@@ -0,0 +1,220 @@
+"""Tests of who reads the store: the readers of a region, and the others when they must."""
+
+from __future__ import annotations
+
+import unittest
+
+from bamboonotch_core.distribution import MembershipView, Neighbour
+from bamboonotch_core.documents import (
+    WATCH_DOCUMENT,
+    DocumentState,
+    make_document_state,
+    reduce_documents,
+)
+from bamboonotch_core.effects import Effect, SendMessage, WatchDocument
+from bamboonotch_core.events import (
+    DocumentRead,
+    DocumentUnchanged,
+    Event,
+    LinkClosed,
+    MessageReceived,
+    StoreOperation,
+    StoreReadFailed,
+    Tick,
+)
+from bamboonotch_core.messages import Heartbeat, VersionAnnounce, VersionRequest
+from tests.documents.test_reducer import make_document
+from tests.routing.builders import make_settings
+
+LINKS = tuple(
+    Neighbour(f"link-{number}", f"peer-{number}", 1, "bagmati", "ktm-a") for number in (1, 2)
+)
+READER = MembershipView(neighbours=LINKS, is_store_reader=True)
+OTHER = MembershipView(neighbours=LINKS)
+ALONE = MembershipView(is_store_reader=True)
+# Longer than a confirmation may take: one watch, and a heartbeat for each hop through the region.
+STALE_MS = 6000.0
+
+
+class ReaderCase(unittest.TestCase):
+    """Drives the reducer of one node, which is no reader unless a test says so."""
+
+    def setUp(self) -> None:
+        """Make the state of a new process."""
+        self.state: DocumentState = make_document_state(make_settings())
+        self.view = OTHER
+
+    def step(self, event: Event) -> list[Effect]:
+        """Reduce an event and return its effects."""
+        transition = reduce_documents(self.state, event, self.view)
+        self.state = transition.state
+        return list(transition.effects)
+
+    def hear(
+        self, now_ms: float, version: int, revision: int, age_ms: int | None, link: int = 1
+    ) -> list[Effect]:
+        """Receive a heartbeat."""
+        heartbeat = Heartbeat(version, version, 0, True, revision, age_ms)
+        return self.step(MessageReceived(now_ms, f"link-{link}", heartbeat))
+
+    def run_until(self, start_ms: float, end_ms: float) -> list[tuple[float, WatchDocument]]:
+        """Let time pass and return the reads that began, with their times."""
+        reads = []
+        now_ms = start_ms
+        while now_ms < end_ms:
+            reads += [
+                (now_ms, effect)
+                for effect in self.step(Tick(now_ms))
+                if isinstance(effect, WatchDocument)
+            ]
+            now_ms += 100.0
+        return reads
+
+
+class OthersTest(ReaderCase):
+    """A node that is no reader."""
+
+    def setUp(self) -> None:
+        """Let the node hold version 7, which a reader has confirmed."""
+        super().setUp()
+        self.step(DocumentRead(0.0, 7, make_document(7), 10))
+
+    def test_does_not_read_while_the_version_is_confirmed(self) -> None:
+        """Guards against calls of the store that grow with the fleet."""
+        reads = []
+        for now_ms in range(100, 20_000, 500):
+            self.hear(float(now_ms), 7, 10 + now_ms, 900)
+            reads += self.run_until(float(now_ms), now_ms + 500.0)
+        self.assertEqual(reads, [])
+
+    def test_reads_when_no_confirmation_comes(self) -> None:
+        """Guards against readers that all fall silent, which would hold every node back."""
+        self.hear(100.0, 7, 44, 0)
+        reads = self.run_until(200.0, 200.0 + STALE_MS)
+        self.assertEqual([read for _, read in reads], [WatchDocument(44, 2500)])
+
+    def test_a_peer_that_is_behind_confirms_nothing_newer(self) -> None:
+        """Guards against an old confirmation that is taken for a new one as it travels."""
+        self.hear(3000.0, 7, 5, 3500)
+        self.assertEqual(self.state.confirmation.confirmed_ms, 0.0)
+        self.assertEqual(self.state.confirmation.revision, 10)
+
+    def test_a_confirmation_of_a_newer_version_is_not_taken(self) -> None:
+        """Guards against an old version that counts as the newest."""
+        self.hear(3000.0, 8, 60, 0)
+        self.assertEqual(self.state.confirmation.confirmed_ms, 0.0)
+
+    def test_requests_a_newer_version_at_once(self) -> None:
+        """Guards against a delay at each node that a version passes."""
+        effects = self.step(MessageReceived(100.0, "link-1", VersionAnnounce(8)))
+        self.assertIn(SendMessage("link-1", VersionRequest(7)), effects)
+
+    def test_requests_from_another_peer_when_the_first_is_silent(self) -> None:
+        """Guards against waiting for a peer whose connection went silent."""
+        self.step(MessageReceived(100.0, "link-1", VersionAnnounce(8)))
+        self.step(MessageReceived(110.0, "link-2", VersionAnnounce(8)))
+        effects = self.step(Tick(500.0))
+        self.assertIn(SendMessage("link-2", VersionRequest(7)), effects)
+
+    def test_an_outage_is_not_answered_by_frequent_reads_of_all(self) -> None:
+        """Guards against a fleet that calls a store without an answer all the time."""
+        reads = 0
+        now_ms = STALE_MS
+        while now_ms < STALE_MS + 60_000.0:
+            if any(isinstance(item, WatchDocument) for item in self.step(Tick(now_ms))):
+                reads += 1
+                failed = StoreOperation(WATCH_DOCUMENT)
+                self.step(StoreReadFailed(now_ms + 1.0, failed, "refused"))
+            now_ms += 100.0
+        self.assertLess(reads, 30)
+        self.assertGreater(reads, 10)
+
+
+class ReadersTest(ReaderCase):
+    """A reader of the region."""
+
+    def test_announces_what_the_store_brings(self) -> None:
+        """Guards against versions that spread only with the next heartbeat."""
+        self.view = READER
+        self.hear(0.0, 9, 0, None, link=2)
+        effects = self.step(DocumentRead(10.0, 9, make_document(9), 10))
+        sent = [effect for effect in effects if isinstance(effect, SendMessage)]
+        self.assertEqual(sent, [SendMessage("link-1", VersionAnnounce(9))])
+
+    def test_a_node_that_becomes_a_reader_reads_no_whole_document(self) -> None:
+        """Guards against documents that cross the link to the store at each change of readers."""
+        self.step(DocumentRead(0.0, 7, make_document(7), 10))
+        self.hear(500.0, 7, 44, 0)
+        self.view = READER
+        reads = [item for item in self.step(Tick(600.0)) if isinstance(item, WatchDocument)]
+        self.assertEqual(reads, [WatchDocument(44, 2500)])
+
+    def test_an_unreadable_history_is_followed_by_a_whole_read(self) -> None:
+        """Guards against a watch that fails for ever because the store dropped its history."""
+        self.view = READER
+        self.step(DocumentRead(0.0, 7, make_document(7), 10))
+        self.step(DocumentUnchanged(100.0, 0))
+        reads = self.run_until(200.0, 300.0)
+        self.assertEqual([read for _, read in reads], [WatchDocument(0, 0)])
+
+
+class StartTest(ReaderCase):
+    """A process that has just started."""
+
+    def test_a_node_without_peers_waits_for_its_time(self) -> None:
+        """Guards against a region that reads the document once for each node that starts."""
+        self.view = ALONE
+        reads = self.run_until(0.0, 4600.0)
+        self.assertEqual([read for _, read in reads], [WatchDocument(0, 0)])
+
+    def test_times_of_nodes_differ(self) -> None:
+        """Guards against all nodes of a region that start to read at the same time."""
+        times_ms = []
+        for number in range(50):
+            settings = make_settings(node_id=f"node-{number}")
+            self.state = make_document_state(settings)
+            self.view = ALONE
+            times_ms.append(self.run_until(0.0, 4600.0)[0][0])
+        busiest = max(times_ms.count(time_ms) for time_ms in times_ms)
+        self.assertLessEqual(busiest, 10)
+
+    def test_a_node_with_its_first_peer_is_no_reader_yet(self) -> None:
+        """Guards against nodes that are all readers of the few members that they know so far."""
+        self.view = READER
+        self.assertEqual(self.run_until(0.0, 600.0), [])
+        self.view = OTHER
+        self.assertEqual(self.run_until(600.0, 1400.0), [])
+
+    def test_a_reader_that_knows_its_peers_reads_soon(self) -> None:
+        """Guards against a fleet that starts late because everybody waits for everybody."""
+        self.view = READER
+        self.assertTrue(self.run_until(0.0, 1000.0))
+
+    def test_a_peer_that_holds_a_version_is_asked_first(self) -> None:
+        """Guards against a restarted node that reads the store although its peers are current."""
+        self.hear(0.0, 9, 50, 100)
+        reads = self.run_until(10.0, 900.0)
+        self.assertEqual(reads, [])
+
+    def test_the_store_is_read_when_the_peers_do_not_answer(self) -> None:
+        """Guards against a node that waits for peers for ever."""
+        self.hear(0.0, 9, 50, 100)
+        self.assertTrue(self.run_until(10.0, 19_000.0))
+
+    def test_no_document_yet_is_watched_by_readers_only(self) -> None:
+        """Guards against a whole fleet that takes the first document from the store."""
+        self.hear(0.0, 0, 50, 100)
+        reads = self.run_until(10.0, 2000.0)
+        self.assertEqual(reads, [])
+
+    def test_a_node_that_lost_all_peers_goes_on_reading(self) -> None:
+        """Guards against a cut-off node that waits for confirmations nobody can send."""
+        self.step(DocumentRead(0.0, 7, make_document(7), 10))
+        for link in LINKS:
+            self.step(LinkClosed(10.0, link.link_id, "silent"))
+        self.view = ALONE
+        self.assertTrue(self.run_until(20.0, 200.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/core/tests/documents/test_reducer.py
+++ b/packages/core/tests/documents/test_reducer.py
@@ -13,6 +13,7 @@
     make_document_state,
     reduce_documents,
 )
+from bamboonotch_core.documents._reading import SETTLE_MS
 from bamboonotch_core.effects import Effect, SendMessage, WatchDocument
 from bamboonotch_core.events import (
     DocumentRead,
@@ -29,7 +30,9 @@
 from tests.routing.builders import make_settings
 
 SERVICES = {"orders": {"tenant": "himal-thali", "slots_per_backend_server": 6}}
-VIEW = MembershipView(neighbours=(Neighbour("link-1", "peer", 1, "bagmati", "ktm-a"),))
+VIEW = MembershipView(
+    neighbours=(Neighbour("link-1", "peer", 1, "bagmati", "ktm-a"),), is_store_reader=True
+)
 
 
 def make_document(timeout_ms: int) -> dict[str, Any]:
@@ -81,6 +84,7 @@
 
     def test_reads_once_then_waits_after_the_revision(self) -> None:
         """Guards against two reads at the same time, and against a missed change."""
+        self.step(Tick(-SETTLE_MS))
         self.step(Tick(0.0))
         self.assertEqual(self.watches(), [WatchDocument(0, 0)])
         self.step(Tick(100.0))
@@ -161,6 +165,7 @@
 
     def test_absent_document_is_not_polled_in_a_loop(self) -> None:
         """Guards against reads without a pause before the first configuration exists."""
+        self.step(Tick(-SETTLE_MS))
         self.step(Tick(0.0))
         self.step(DocumentUnchanged(1.0, 0))
         self.assertEqual(self.watches(), [])
--- a/packages/store/src/bamboonotch_store/http.py
+++ b/packages/store/src/bamboonotch_store/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -9,17 +10,18 @@
 from twisted.internet.defer import CancelledError, Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectionClosed, DNSLookupError, UserError
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web._newclient import RequestNotSent
 from twisted.web.client import (
     URI,
     Agent,
     HTTPConnectionPool,
-    PartialDownloadError,
+    ResponseDone,
     ResponseFailed,
     ResponseNeverReceived,
-    readBody,
 )
+from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
@@ -31,12 +33,15 @@
 MAX_IDLE_CONNECTIONS = 8
 # Shorter than the minute after which common servers close an idle connection.
 IDLE_CONNECTION_S = 20
+LONGEST_TRANSFER_MS = 10_000
+# More than a page of a listing or the largest value of a store takes, in base64.
+MAX_BODY_BYTES = 4 * 1024 * 1024
 
 _CONNECTION_ERRORS = (
     ConnectError,
     ConnectionClosed,
     DNSLookupError,
-    PartialDownloadError,
+    PotentialDataLoss,
     RequestNotSent,
     ResponseFailed,
     ResponseNeverReceived,
@@ -58,6 +63,8 @@
     :param parameters: query parameters.
     :param body: request body.
     :param deadline_ms: longest wait for the whole answer, in milliseconds.
+    :param progress_ms: if given, an answer whose body still arrives at the deadline has this time
+        for each further piece, in milliseconds, and ``LONGEST_TRANSFER_MS`` in all.
     :param content_type: type of the request body, or empty.
     """
 
@@ -68,6 +75,7 @@
     body: bytes
     deadline_ms: float
     content_type: str = ""
+    progress_ms: float | None = None
 
 
 @dataclass(frozen=True)
@@ -135,6 +143,47 @@
         return endpoint(self._reactor, host, uri.port)
 
 
+class _BodyReader(Protocol):
+    """Collects the body of an answer and tells of each piece.
+
+    :param progressed: called after each piece.
+    """
+
+    def __init__(self, progressed: Callable[[], None]) -> None:
+        self.body: Deferred[bytes] = Deferred(lambda _: self._abort())
+        self._progressed = progressed
+        self._pieces: list[bytes] = []
+        self._size_bytes = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep a piece of the body, up to a bound."""
+        self._size_bytes += len(data)
+        if self._size_bytes > MAX_BODY_BYTES:
+            self._pieces.clear()
+            self._fail(ExchangeFailedError(f"answer is longer than {MAX_BODY_BYTES} bytes"))
+            self._abort()
+            return
+        self._pieces.append(data)
+        self._progressed()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Hand the body over if it is whole."""
+        if reason.check(ResponseDone) is None:
+            self._fail(reason.value)
+        elif not self.body.called:
+            self.body.callback(b"".join(self._pieces))
+
+    def _fail(self, error: BaseException) -> None:
+        if not self.body.called:
+            self.body.errback(error)
+
+    def _abort(self) -> None:
+        # Nothing waits to be written, so this closes the connection at once. The transport that the
+        # library gives to readers has no way to abort it, which is why ``readBody`` leaves it open.
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
 class _Cancellable:
     """A running exchange whose result says for certain why it was ended.
 
@@ -166,6 +215,45 @@
         self._call.cancel()
 
 
+class _Deadline:
+    """The time that an exchange may still take; a context manager.
+
+    :param reactor: Twisted reactor.
+    :param exchange: the exchange.
+    """
+
+    def __init__(self, reactor: Any, exchange: HttpExchange) -> None:
+        self._reactor = reactor
+        self._exchange = exchange
+        self._started_s: float = reactor.seconds()
+        self._timer: Any = None
+        self.expired: Callable[[str], None] = lambda reason: None
+
+    def __enter__(self) -> _Deadline:
+        delay_s = self._exchange.deadline_ms / 1000
+        reason = f"no answer within {self._exchange.deadline_ms:.0f} ms"
+        self._timer = self._reactor.callLater(delay_s, self._expire, reason)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+
+    def note_progress(self) -> None:
+        """Grant time for the next piece of the body, up to the longest transfer."""
+        progress_ms = self._exchange.progress_ms
+        if progress_ms is None or not self._timer.active():
+            return
+        now_s = self._reactor.seconds()
+        longest_ms = max(LONGEST_TRANSFER_MS, self._exchange.deadline_ms)
+        end_s = min(now_s + progress_ms / 1000, self._started_s + longest_ms / 1000)
+        if end_s > self._timer.getTime():
+            self._timer.reset(max(0.0, end_s - now_s))
+
+    def _expire(self, reason: str) -> None:
+        self.expired(reason)
+
+
 class HttpTransport:
     """Owns persistent connections; a context manager.
 
@@ -195,26 +283,25 @@
         """
         if self._closed:
             raise ExchangeFailedError("the client is closed")
-        call = _Cancellable(Deferred.fromCoroutine(self._exchange(exchange)))
-        self._pending.add(call)
-        timer = self._reactor.callLater(exchange.deadline_ms / 1000, self._end_late, call, exchange)
-        try:
-            answer: HttpAnswer = await call.result
-            return answer
-        except _CONNECTION_ERRORS as error:
-            raise ExchangeFailedError(_describe(error)) from error
-        finally:
-            self._pending.discard(call)
-            if timer.active():
-                timer.cancel()
-
-    def _end_late(self, call: _Cancellable, exchange: HttpExchange) -> None:
+        with _Deadline(self._reactor, exchange) as deadline:
+            call = _Cancellable(Deferred.fromCoroutine(self._exchange(exchange, deadline)))
+            deadline.expired = lambda reason: self._end_late(call, reason)
+            self._pending.add(call)
+            try:
+                answer: HttpAnswer = await call.result
+                return answer
+            except _CONNECTION_ERRORS as error:
+                raise ExchangeFailedError(_describe(error)) from error
+            finally:
+                self._pending.discard(call)
+
+    def _end_late(self, call: _Cancellable, reason: str) -> None:
         # Idle connections to a silent peer are as dead as the one that got no answer, so the next
         # call dials anew.
         self._pool.closeCachedConnections()
-        call.end(ExchangeFailedError(f"no answer within {exchange.deadline_ms:.0f} ms"))
+        call.end(ExchangeFailedError(reason))
 
-    async def _exchange(self, exchange: HttpExchange) -> HttpAnswer:
+    async def _exchange(self, exchange: HttpExchange, deadline: _Deadline) -> HttpAnswer:
         path = quote(exchange.path)
         query = urlencode(exchange.parameters)
         uri = f"http://{exchange.address}{path}{'?' if query else ''}{query}"
@@ -226,7 +313,9 @@
             exchange.method.encode(), uri.encode(), headers, producer
         )
         index = response.headers.getRawHeaders(b"x-consul-index", [b""])[0]
-        body = await readBody(response)
+        reader = _BodyReader(deadline.note_progress)
+        response.deliverBody(reader)
+        body = await reader.body
         return HttpAnswer(response.code, index.decode("ascii", "replace"), body)
 
     def close(self) -> Deferred[None]:
--- a/packages/testing/src/bamboonotch_testing/soak/_defects.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_defects.py
@@ -160,15 +160,15 @@
 
 
 def _keep_first_version() -> None:
-    from bamboonotch_core.documents import _reducer
+    from bamboonotch_core.documents._step import Step
 
-    hold = _reducer._hold
+    hold = Step.hold
 
     def hold_first(step: Any, version: int, *rest: Any) -> None:
         if not step.state.held_version:
             hold(step, version, *rest)
 
-    _replace(_reducer, "_hold", hold_first)
+    _replace(Step, "hold", hold_first)
 
 
 def _lose_rules_of_even_versions() -> None:
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -78,6 +78,8 @@
             running_version=message.running_version,
             membership_digest=message.membership_digest,
             serving=message.serving,
+            confirmed_revision=message.confirmed_revision,
+            confirmed_age_ms=message.confirmed_age_ms,
         )
     )
 
@@ -209,7 +211,14 @@
 
 
 def _decode_heartbeat(body: Any) -> Message:
-    return Heartbeat(body.held_version, body.running_version, body.membership_digest, body.serving)
+    return Heartbeat(
+        body.held_version,
+        body.running_version,
+        body.membership_digest,
+        body.serving,
+        body.confirmed_revision,
+        body.confirmed_age_ms if body.HasField("confirmed_age_ms") else None,
+    )
 
 
 def _decode_version_push(body: Any) -> Message:
