Answer any JSON with a typed error; run the pure suites beside the others

Ruled out: catching every exception at the entry, which would hide faults of the decoder itself.

The suites of core and wire start no process, so they run beside the others.

--- a/packages/core/src/bamboonotch_core/configuration/_patch.py
+++ b/packages/core/src/bamboonotch_core/configuration/_patch.py
@@ -55,11 +55,10 @@
         raise PatchError(
             f"operation {index} is of type {type(operation).__name__}, must be an object"
         )
-    if operation.get("op") not in OPERATIONS:
+    name = operation.get("op")
+    if not isinstance(name, str) or name not in OPERATIONS:
         allowed = ", ".join(sorted(OPERATIONS))
-        raise PatchError(
-            f"operation {index}: op is {operation.get('op')!r:.40}, must be one of {allowed}"
-        )
+        raise PatchError(f"operation {index}: op is {name!r:.40}, must be one of {allowed}")
     if not isinstance(operation.get("path"), str):
         raise PatchError(
             f"operation {index}: path is {operation.get('path')!r:.40}, must be a JSON pointer"
@@ -72,8 +71,9 @@
     :param text: JSON text, at most 256 KiB.
     :raises PatchError: when the text is not a list of RFC 6902 operations.
     """
-    if len(text) > MAX_PATCH_BYTES:
-        raise PatchError(f"patch has a length of {len(text)}, more than {MAX_PATCH_BYTES} bytes")
+    size_bytes = len(text if isinstance(text, bytes) else text.encode("utf-8", "surrogatepass"))
+    if size_bytes > MAX_PATCH_BYTES:
+        raise PatchError(f"patch has a length of {size_bytes}, more than {MAX_PATCH_BYTES} bytes")
     try:
         operations = json.loads(text)
     except (ValueError, RecursionError) as error:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -19,6 +20,8 @@
 SUITES = {
     name: ROOT / "packages" / name for name in ("core", "wire", "store", "node", "cli", "testing")
 } | {"platform": ROOT / "platform"}
+# These start no processes and measure no times, so they run beside the other suites.
+PURE_SUITES = frozenset({"core", "wire"})
 KNOWN_RED_PATTERN = re.compile(r"^test:\s*(\S+)", re.MULTILINE)
 SUITE_TIMEOUT_S = 1800
 
@@ -87,6 +90,24 @@
     )
 
 
+def collect_suites(packages: list[str], pattern: str) -> list[SuiteResult]:
+    """Run suites, the pure ones beside the others, and return their results in order.
+
+    :param packages: names of the suites.
+    :param pattern: file pattern of the test modules.
+    """
+
+    def collect_in_turn(names: list[str]) -> dict[str, SuiteResult]:
+        return {name: collect_suite(name, pattern) for name in names}
+
+    pure = [name for name in packages if name in PURE_SUITES]
+    others = [name for name in packages if name not in PURE_SUITES]
+    with ThreadPoolExecutor(max_workers=2) as pool:
+        parts = [pool.submit(collect_in_turn, names) for names in (pure, others)]
+        results = parts[0].result() | parts[1].result()
+    return [results[name] for name in packages]
+
+
 def read_known_red() -> frozenset[str]:
     """Read the ids of tests that may fail from KNOWN-RED.txt."""
     path = ROOT / "KNOWN-RED.txt"
@@ -107,8 +128,7 @@
     known_red = read_known_red()
     passed: list[str] = []
     failed: list[str] = []
-    for package in options.package or SUITES:
-        result = collect_suite(package, options.pattern)
+    for result in collect_suites(options.package or list(SUITES), options.pattern):
         passed.extend(result.passed)
         failed.extend(result.failed)
     excused = [name for name in failed if name in known_red]
