Copy states of membership and documents without their constructors

Cause: each event of the control part copied five to ten frozen states with dataclasses.replace, which calls the constructor and sets each field through object.__setattr__. The request path has used replace_fields for this; membership, documents and the composed reducer did not.

replace_fields moves from routing to a module of its own, since four parts use it. The own record is compared by its three fields before it is copied.

--- a/packages/core/src/bamboonotch_core/_membership_view.py
+++ b/packages/core/src/bamboonotch_core/_membership_view.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from bamboonotch_core import membership
 from bamboonotch_core.distribution import MembershipView, Neighbour
 from bamboonotch_core.member_record import MemberState
@@ -16,6 +14,7 @@
     overlay_neighbours,
     own_record,
 )
+from bamboonotch_core.replace import replace_fields
 
 __all__ = ["refresh_view"]
 
@@ -39,14 +38,14 @@
     if after.overlay is not before.overlay:
         open_links = _open_links(after)
         if open_links != view.neighbours:
-            view = replace(view, neighbours=open_links)
+            view = replace_fields(view, neighbours=open_links)
     reader, lowest = is_store_reader(after), is_lowest_slot(after)
     incarnation = own_record(after).incarnation
     if after.overlay.gateways is not before.overlay.gateways:
-        view = replace(view, far_gateways=_far_gateways(after))
+        view = replace_fields(view, far_gateways=_far_gateways(after))
     known = (view.is_store_reader, view.is_lowest_slot, view.own_incarnation)
     if (reader, lowest, incarnation) != known:
-        view = replace(
+        view = replace_fields(
             view, is_store_reader=reader, is_lowest_slot=lowest, own_incarnation=incarnation
         )
     return view
@@ -67,7 +66,7 @@
         for node_id, record in state.directory.records.items()
         if record.state is not MemberState.DEAD and is_region_usable(state, record.region)
     }
-    return replace(view, live_node_ids=frozenset(addresses), peer_addresses=addresses)
+    return replace_fields(view, live_node_ids=frozenset(addresses), peer_addresses=addresses)
 
 
 def _open_links(state: MembershipState) -> tuple[Neighbour, ...]:
--- a/packages/core/src/bamboonotch_core/admission/_backend.py
+++ b/packages/core/src/bamboonotch_core/admission/_backend.py
@@ -10,7 +10,7 @@
 from bamboonotch_core.configuration import Configuration
 from bamboonotch_core.events import BackendServerAnnounced
 from bamboonotch_core.outcomes import RefusalReason
-from bamboonotch_core.routing import replace_fields
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.transition import Transition
 
 __all__ = ["apply_announcement", "mark_silent_as_stopped", "start_or_refuse_waiting"]
--- a/packages/core/src/bamboonotch_core/admission/_ending.py
+++ b/packages/core/src/bamboonotch_core/admission/_ending.py
@@ -8,9 +8,9 @@
 from bamboonotch_core.admission._queue import remove
 from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
 from bamboonotch_core.effects import Effect
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_effects import RefuseWork
 from bamboonotch_core.request_events import BackendResult, FenceState
-from bamboonotch_core.routing import replace_fields
 from bamboonotch_core.transition import Transition
 
 __all__ = ["refuse", "refuse_queued", "refuse_waiting", "remove_live_attempt"]
--- a/packages/core/src/bamboonotch_core/admission/_expiry.py
+++ b/packages/core/src/bamboonotch_core/admission/_expiry.py
@@ -15,8 +15,8 @@
 from bamboonotch_core.configuration import Configuration
 from bamboonotch_core.effects import Effect
 from bamboonotch_core.outcomes import RefusalReason
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import BackendResult
-from bamboonotch_core.routing import replace_fields
 from bamboonotch_core.transition import Transition
 
 __all__ = ["expire"]
--- a/packages/core/src/bamboonotch_core/admission/_fences.py
+++ b/packages/core/src/bamboonotch_core/admission/_fences.py
@@ -8,6 +8,7 @@
 from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
 from bamboonotch_core.configuration import Configuration
 from bamboonotch_core.outcomes import RefusalReason, parse_attempt_id
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_effects import AbortBackend, AnswerFence
 from bamboonotch_core.request_events import (
     BackendResult,
@@ -15,7 +16,6 @@
     FenceState,
     WorkCancelled,
 )
-from bamboonotch_core.routing import replace_fields
 from bamboonotch_core.transition import Transition
 
 __all__ = ["abort", "cancel", "fence"]
--- a/packages/core/src/bamboonotch_core/admission/_limit.py
+++ b/packages/core/src/bamboonotch_core/admission/_limit.py
@@ -12,7 +12,7 @@
 
 from immutables import Map
 
-from bamboonotch_core.routing import replace_fields
+from bamboonotch_core.replace import replace_fields
 
 __all__ = [
     "ClassLatency",
--- a/packages/core/src/bamboonotch_core/admission/_memory.py
+++ b/packages/core/src/bamboonotch_core/admission/_memory.py
@@ -11,8 +11,8 @@
 from immutables import Map
 
 from bamboonotch_core.outcomes import AttemptName, parse_attempt_id
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import FenceState
-from bamboonotch_core.routing import replace_fields
 from bamboonotch_core.settings import AdmissionSettings
 
 __all__ = [
--- a/packages/core/src/bamboonotch_core/admission/_offers.py
+++ b/packages/core/src/bamboonotch_core/admission/_offers.py
@@ -17,8 +17,8 @@
 from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
 from bamboonotch_core.configuration import Configuration, RequestClass
 from bamboonotch_core.outcomes import RefusalReason, parse_attempt_id
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import BackendResult, FenceState, WorkOffered
-from bamboonotch_core.routing import replace_fields
 from bamboonotch_core.transition import Transition
 
 __all__ = ["admit"]
--- a/packages/core/src/bamboonotch_core/admission/_reducer.py
+++ b/packages/core/src/bamboonotch_core/admission/_reducer.py
@@ -21,6 +21,7 @@
     Tick,
     UndrainRequested,
 )
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import (
     BackendFinished,
     ClaimAnswered,
@@ -28,7 +29,6 @@
     WorkCancelled,
     WorkOffered,
 )
-from bamboonotch_core.routing import replace_fields
 from bamboonotch_core.transition import Transition
 
 __all__ = ["reduce_admission"]
--- a/packages/core/src/bamboonotch_core/admission/_results.py
+++ b/packages/core/src/bamboonotch_core/admission/_results.py
@@ -10,6 +10,7 @@
 from bamboonotch_core.configuration import Configuration
 from bamboonotch_core.effects import Effect, Report
 from bamboonotch_core.outcomes import RefusalReason
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_effects import RefuseWork
 from bamboonotch_core.request_events import (
     BackendFinished,
@@ -18,7 +19,6 @@
     ClaimResult,
     FenceState,
 )
-from bamboonotch_core.routing import replace_fields
 from bamboonotch_core.transition import Transition
 
 __all__ = ["MAX_CLAIM_RESERVATION_MS", "finish_claim", "finish_work"]
--- a/packages/core/src/bamboonotch_core/admission/_state.py
+++ b/packages/core/src/bamboonotch_core/admission/_state.py
@@ -11,7 +11,7 @@
 from bamboonotch_core.admission._limit import ConcurrencyLimit
 from bamboonotch_core.admission._memory import AttemptMemory
 from bamboonotch_core.admission._queue import ClassQueue
-from bamboonotch_core.routing import replace_fields
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.settings import NodeSettings
 
 __all__ = [
--- a/packages/core/src/bamboonotch_core/documents/_step.py
+++ b/packages/core/src/bamboonotch_core/documents/_step.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from bamboonotch_core.configuration import Configuration, Document
 from bamboonotch_core.distribution import MembershipView
 from bamboonotch_core.documents._state import DocumentState
 from bamboonotch_core.effects import Effect, Report, SendMessage
 from bamboonotch_core.messages import Message
+from bamboonotch_core.replace import replace_fields
 
 __all__ = ["Step"]
 
@@ -33,11 +32,11 @@
 
     def update(self, **changes: object) -> None:
         """Replace fields of the state."""
-        self.state = replace(self.state, **changes)  # type: ignore[arg-type]
+        self.state = replace_fields(self.state, **changes)  # type: ignore[arg-type]
 
     def update_reading(self, **changes: object) -> None:
         """Replace fields of the read in progress."""
-        self.update(reading=replace(self.state.reading, **changes))  # type: ignore[arg-type]
+        self.update(reading=replace_fields(self.state.reading, **changes))  # type: ignore[arg-type]
 
     def report(self, name: str, **fields: str | int | float | bool) -> None:
         """Report an event to the operator's log."""
--- a/packages/core/src/bamboonotch_core/membership/_dead_dials.py
+++ b/packages/core/src/bamboonotch_core/membership/_dead_dials.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from bamboonotch_core.member_record import MemberRecord
 from bamboonotch_core.membership._dials import add_dial, has_optional_capacity
 from bamboonotch_core.membership._ring import nearest_members
 from bamboonotch_core.membership._state import Dial, DialReason
 from bamboonotch_core.membership._work import Step
+from bamboonotch_core.replace import replace_fields
 
 __all__ = ["dial_adjacent_dead_members", "dial_dead_neighbour"]
 
@@ -47,4 +46,4 @@
         step.change_overlay(dials=overlay.dials.delete(dial.address))
         return
     expires_ms = since_ms + step.settings.redial_ms
-    add_dial(step, replace(dial, reason=DialReason.DEAD, expires_ms=expires_ms))
+    add_dial(step, replace_fields(dial, reason=DialReason.DEAD, expires_ms=expires_ms))
--- a/packages/core/src/bamboonotch_core/membership/_detection.py
+++ b/packages/core/src/bamboonotch_core/membership/_detection.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from immutables import Map
 
 from bamboonotch_core.member_record import MemberRecord, MemberState
@@ -33,6 +31,7 @@
 )
 from bamboonotch_core.membership._work import Step
 from bamboonotch_core.messages import Suspicion
+from bamboonotch_core.replace import replace_fields
 
 __all__ = [
     "REPORTERS_NEEDED",
@@ -91,7 +90,7 @@
         step.send(link, Suspicion(node_id, reports.incarnation, reports.sequence, reporter))
     own_id = step.own_record.node_id
     if own_id in reports.reporters:
-        left = replace(reports, reporters=reports.reporters.delete(own_id))
+        left = replace_fields(reports, reporters=reports.reporters.delete(own_id))
         step.change_detection(
             suspicion_reports=step.state.detection.suspicion_reports.set(node_id, left)
         )
@@ -158,13 +157,15 @@
     for node_id, suspect in sorted(step.state.detection.suspects.items()):
         if step.now_ms - suspect.since_ms >= step.settings.suspicion_ms:
             record = step.state.directory.records[node_id]
-            store_record(step, replace(record, state=MemberState.DEAD), None)
+            store_record(step, replace_fields(record, state=MemberState.DEAD), None)
 
 
 def restart_suspicion_clocks(step: Step) -> None:
     """Restart the suspicion time of every suspect after a pause of this process."""
     suspects = step.state.detection.suspects
-    restarted = {name: replace(item, since_ms=step.now_ms) for name, item in suspects.items()}
+    restarted = {
+        name: replace_fields(item, since_ms=step.now_ms) for name, item in suspects.items()
+    }
     step.change_detection(suspects=Map(restarted))
 
 
@@ -241,7 +242,7 @@
     if last_ms is None and len(reports.reporters) < REPORTERS_NEEDED:
         step.report("member-suspected", node_id=node_id, reporter=suspicion.reporter)
     reporters = reports.reporters.set(suspicion.reporter, step.now_ms)
-    reports = replace(reports, reporters=reporters)
+    reports = replace_fields(reports, reporters=reporters)
     step.change_detection(
         suspicion_reports=step.state.detection.suspicion_reports.set(node_id, reports)
     )
@@ -251,7 +252,7 @@
     if _is_agreed(step, node_id, reports):
         # The reports reach the whole region, and each of its members marks the suspect by itself.
         store_record(
-            step, replace(record, state=MemberState.SUSPECT), None, other_regions_only=True
+            step, replace_fields(record, state=MemberState.SUSPECT), None, other_regions_only=True
         )
 
 
@@ -287,7 +288,7 @@
         step.change_detection(suspicion_reports=all_reports.delete(node_id))
         return None
     check_ms = step.now_ms + step.settings.suspicion_ms
-    kept = replace(reports, reporters=reporters, check_ms=check_ms)
+    kept = replace_fields(reports, reporters=reporters, check_ms=check_ms)
     step.change_detection(suspicion_reports=all_reports.set(node_id, kept))
     return kept
 
--- a/packages/core/src/bamboonotch_core/membership/_dialling.py
+++ b/packages/core/src/bamboonotch_core/membership/_dialling.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from bamboonotch_core.effects import OpenLink
 from bamboonotch_core.member_record import MemberState
 from bamboonotch_core.membership._detection import report_failed_verification, suspect_neighbour
@@ -18,6 +16,7 @@
 )
 from bamboonotch_core.membership._state import Dial, DialReason, Link
 from bamboonotch_core.membership._work import Step
+from bamboonotch_core.replace import replace_fields
 
 __all__ = [
     "MAX_PENDING_DIALS",
@@ -91,7 +90,7 @@
     chosen = live_dials + dead_dials[: max(MAX_PENDING_DEAD_DIALS - dead_in_flight, 0)]
     for dial in chosen[: max(free, 0)]:
         deadline_ms = step.now_ms + step.settings.silent_after_ms * timeout_factor(step)
-        add_dial(step, replace(dial, in_flight=True, due_ms=deadline_ms))
+        add_dial(step, replace_fields(dial, in_flight=True, due_ms=deadline_ms))
         step.emit(OpenLink(dial.address))
 
 
@@ -106,7 +105,7 @@
         return
     failures = dial.failures + 1
     due_ms = step.now_ms + _draw_backoff(step, failures)
-    failed = replace(dial, in_flight=False, failures=failures, due_ms=due_ms)
+    failed = replace_fields(dial, in_flight=False, failures=failures, due_ms=due_ms)
     step.change_overlay(dials=dials.set(dial.address, failed))
     if dial.reason == DialReason.OVERLAY:
         suspect_neighbour(step, dial.node_id)
@@ -133,7 +132,7 @@
     deadline_ms = step.now_ms + step.settings.silent_after_ms
     for dial in dials.values():
         if dial.in_flight:
-            dials = dials.set(dial.address, replace(dial, due_ms=deadline_ms))
+            dials = dials.set(dial.address, replace_fields(dial, due_ms=deadline_ms))
     step.change_overlay(dials=dials)
 
 
@@ -186,7 +185,7 @@
     if known is None:
         add_dial(step, Dial(record.peer_address, node_id, reason, due_ms))
     elif known.reason == DialReason.DEAD or known.reason in _SINGLE_ATTEMPT_REASONS:
-        add_dial(step, replace(known, node_id=node_id, reason=reason, expires_ms=None))
+        add_dial(step, replace_fields(known, node_id=node_id, reason=reason, expires_ms=None))
 
 
 def _reason_for(step: Step, region: str) -> str:
--- a/packages/core/src/bamboonotch_core/membership/_directory.py
+++ b/packages/core/src/bamboonotch_core/membership/_directory.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from heapq import nsmallest
 
 from immutables import Map
 
 from bamboonotch_core.member_record import MemberRecord, MemberState
 from bamboonotch_core.membership._hashing import hash_node_id, hash_record
+from bamboonotch_core.replace import replace_fields
 
 __all__ = [
     "EMPTY_DIRECTORY",
@@ -76,7 +77,7 @@
         regions = _remove_from_region(regions, record)
     else:
         regions = _add_to_region(regions, record)
-    changed = replace(
+    changed = replace_fields(
         directory,
         records=directory.records.set(record.node_id, record),
         regions=regions,
@@ -89,7 +90,7 @@
 def remove_record(directory: Directory, node_id: str) -> Directory:
     """Return the directory without a member."""
     old = directory.records[node_id]
-    changed = replace(
+    changed = replace_fields(
         directory,
         records=directory.records.delete(node_id),
         regions=_remove_from_region(directory.regions, old),
@@ -200,4 +201,4 @@
             digests = digests.set(record.data_centre, combined)
         else:
             digests = digests.delete(record.data_centre)
-    return replace(directory, digests=digests, digest=digest)
+    return replace_fields(directory, digests=digests, digest=digest)
--- a/packages/core/src/bamboonotch_core/membership/_exchange.py
+++ b/packages/core/src/bamboonotch_core/membership/_exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
 
 from immutables import Map
 
@@ -19,6 +18,7 @@
     MemberRequest,
     MemberVersion,
 )
+from bamboonotch_core.replace import replace_fields
 
 __all__ = [
     "answer_request",
@@ -84,7 +84,7 @@
             return
         send_digests(step, link)
     if differs or since_ms is not None:
-        changed = replace(link, digest_differs_since_ms=step.now_ms if differs else None)
+        changed = replace_fields(link, digest_differs_since_ms=step.now_ms if differs else None)
         step.change_overlay(links=step.state.overlay.links.set(link.link_id, changed))
 
 
@@ -151,7 +151,7 @@
     held = step.state.directory.records.get(version.node_id)
     if held is None or version.incarnation >= MAX_COUNTER or version.sequence >= MAX_COUNTER:
         return
-    death = replace(
+    death = replace_fields(
         held,
         incarnation=version.incarnation,
         sequence=version.sequence,
--- a/packages/core/src/bamboonotch_core/membership/_links.py
+++ b/packages/core/src/bamboonotch_core/membership/_links.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from immutables import Map
 
 from bamboonotch_core.effects import CloseLink
@@ -23,6 +21,7 @@
 from bamboonotch_core.membership._state import Link
 from bamboonotch_core.membership._validation import find_peer_fault
 from bamboonotch_core.membership._work import Step
+from bamboonotch_core.replace import replace_fields
 
 __all__ = [
     "MAX_LINKS",
@@ -66,7 +65,7 @@
 
     :returns: the updated link.
     """
-    updated = replace(link, last_received_ms=step.now_ms, has_received=True)
+    updated = replace_fields(link, last_received_ms=step.now_ms, has_received=True)
     _store_link(step, updated)
     if step.now_ms - link.opened_ms >= STABLE_LINK_FACTOR * step.settings.silent_after_ms:
         reset_report_backoff(step, link.peer.node_id)
@@ -110,7 +109,9 @@
 def restart_silence_clocks(step: Step) -> None:
     """Restart the silence time of every link after a pause of this process."""
     links = step.state.overlay.links
-    restarted = {name: replace(link, last_received_ms=step.now_ms) for name, link in links.items()}
+    restarted = {
+        name: replace_fields(link, last_received_ms=step.now_ms) for name, link in links.items()
+    }
     step.change_overlay(links=Map(restarted))
 
 
--- a/packages/core/src/bamboonotch_core/membership/_merge.py
+++ b/packages/core/src/bamboonotch_core/membership/_merge.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from bamboonotch_core.member_record import MemberRecord, MemberState, supersedes
 from bamboonotch_core.membership._dead_dials import dial_dead_neighbour
 from bamboonotch_core.membership._directory import put_record
 from bamboonotch_core.membership._spreading import queue_record, record_holder, send_records
 from bamboonotch_core.membership._state import ForgottenMember, Link, Suspect
 from bamboonotch_core.membership._work import Step
+from bamboonotch_core.replace import replace_fields
 
 __all__ = ["merge_record", "publish_own", "refute_newer_claim", "store_record"]
 
@@ -50,7 +49,7 @@
     the time to refute before rings are rebuilt without it.
     """
     if record.state is MemberState.DEAD and held.state not in _SUSPECT_OR_DEAD:
-        return replace(record, state=MemberState.SUSPECT)
+        return replace_fields(record, state=MemberState.SUSPECT)
     return record
 
 
@@ -77,11 +76,11 @@
     if incarnation > own.incarnation:
         if step.now_ms - step.state.own.incarnation_raised_ms < MIN_INCARNATION_RAISE_INTERVAL_MS:
             return
-        raised = replace(own, incarnation=incarnation + 1, sequence=0)
+        raised = replace_fields(own, incarnation=incarnation + 1, sequence=0)
         step.change_own(incarnation_raised_ms=step.now_ms)
         step.report("incarnation-raised", incarnation=raised.incarnation)
     else:
-        raised = replace(own, sequence=sequence + 1)
+        raised = replace_fields(own, sequence=sequence + 1)
         step.report("refuted", sequence=raised.sequence)
     publish_own(step, raised)
     step.urgent = True
@@ -114,7 +113,7 @@
         forgotten.sequence,
     ):
         if link is not None and record.state is not MemberState.DEAD:
-            death = replace(
+            death = replace_fields(
                 record,
                 incarnation=forgotten.incarnation,
                 sequence=forgotten.sequence,
--- a/packages/core/src/bamboonotch_core/membership/_overlay.py
+++ b/packages/core/src/bamboonotch_core/membership/_overlay.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from immutables import Map
 
 from bamboonotch_core.membership._dead_dials import dial_adjacent_dead_members
@@ -11,6 +9,7 @@
 from bamboonotch_core.membership._ring import make_ring, predecessors, successors
 from bamboonotch_core.membership._state import Link, MembershipState
 from bamboonotch_core.membership._work import Step
+from bamboonotch_core.replace import replace_fields
 
 __all__ = [
     "INTER_REGION_GRACE_MS",
@@ -64,7 +63,7 @@
         if unneeded == (link.unneeded_since_ms is not None):
             continue
         since_ms = step.now_ms if unneeded else None
-        links = links.set(link.link_id, replace(link, unneeded_since_ms=since_ms))
+        links = links.set(link.link_id, replace_fields(link, unneeded_since_ms=since_ms))
     if links is not overlay.links:
         step.change_overlay(links=links)
     linked = sum(node_id in overlay.by_peer for node_id in wanted)
--- a/packages/core/src/bamboonotch_core/membership/_own.py
+++ b/packages/core/src/bamboonotch_core/membership/_own.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from bamboonotch_core.events import BackendServerAnnounced
 from bamboonotch_core.member_record import MemberRecord, MemberState
 from bamboonotch_core.membership._merge import publish_own
 from bamboonotch_core.membership._state import BackendServer, OwnState
 from bamboonotch_core.membership._validation import ANNOUNCED_STATES, find_announcement_fault
 from bamboonotch_core.membership._work import Step
+from bamboonotch_core.replace import replace_fields
 
 __all__ = [
     "check_announcement_age",
@@ -38,14 +37,14 @@
         return
     if step.now_ms - server.announced_ms > step.settings.announcement_silence_ms:
         step.report("backend-server-silent", service=server.service, address=server.address)
-        step.change_own(backend_server=replace(server, state=MemberState.STOPPED))
+        step.change_own(backend_server=replace_fields(server, state=MemberState.STOPPED))
 
 
 def restart_announcement_clock(step: Step) -> None:
     """Restart the announcement time-out after a pause of this process."""
     server = step.state.own.backend_server
     if server is not None:
-        step.change_own(backend_server=replace(server, announced_ms=step.now_ms))
+        step.change_own(backend_server=replace_fields(server, announced_ms=step.now_ms))
 
 
 def set_relay_slot(step: Step, slot: int) -> None:
@@ -55,25 +54,23 @@
     """
     own = step.own_record
     if own.relay_slot != slot:
-        publish_own(step, replace(own, relay_slot=slot, sequence=own.sequence + 1))
+        publish_own(step, replace_fields(own, relay_slot=slot, sequence=own.sequence + 1))
 
 
 def refresh_own_record(step: Step) -> None:
     """Publish the own record if its service, slots or state have changed."""
     own = step.own_record
     server = step.state.own.backend_server
-    changed = replace(
-        own,
-        service="" if server is None else server.service,
-        slots=0 if server is None else server.slots,
-        state=_decide_state(step.state.own, step.versions.serving),
-    )
-    if changed != own:
+    service = "" if server is None else server.service
+    slots = 0 if server is None else server.slots
+    state = _decide_state(step.state.own, step.versions.serving)
+    if (service, slots, state) != (own.service, own.slots, own.state):
+        changed = replace_fields(own, service=service, slots=slots, state=state)
         publish_own(step, _raise_sequence(changed))
 
 
 def _raise_sequence(record: MemberRecord) -> MemberRecord:
-    return replace(record, sequence=record.sequence + 1)
+    return replace_fields(record, sequence=record.sequence + 1)
 
 
 def _decide_state(own: OwnState, serving: bool) -> MemberState:
--- a/packages/core/src/bamboonotch_core/membership/_spreading.py
+++ b/packages/core/src/bamboonotch_core/membership/_spreading.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import replace
 
 from immutables import Map
 
@@ -11,6 +10,7 @@
 from bamboonotch_core.membership._state import Link, PendingUpdate
 from bamboonotch_core.membership._work import Step
 from bamboonotch_core.messages import MemberUpdate, Suspicion
+from bamboonotch_core.replace import replace_fields
 
 __all__ = [
     "MAX_RECORDS_PER_UPDATE",
@@ -60,7 +60,7 @@
     pending = step.state.spreading.pending
     update = pending.get(node_id)
     if update is not None:
-        known = replace(update, holders=update.holders | {link.link_id})
+        known = replace_fields(update, holders=update.holders | {link.link_id})
         step.change_spreading(pending=pending.set(node_id, known))
 
 
--- a/packages/core/src/bamboonotch_core/membership/_work.py
+++ b/packages/core/src/bamboonotch_core/membership/_work.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Any
 
 from bamboonotch_core.effects import Effect, Report, SendMessage
@@ -11,6 +10,7 @@
 from bamboonotch_core.membership._random import next_fraction
 from bamboonotch_core.membership._state import Dial, Link, LocalVersions, MembershipState
 from bamboonotch_core.messages import Message
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.settings import MembershipSettings
 from bamboonotch_core.transition import Transition
 
@@ -97,7 +97,7 @@
         :param limit_ms: upper bound, in milliseconds.
         """
         fraction, seed = next_fraction(self.state.seed)
-        self.state = replace(self.state, seed=seed)
+        self.state = replace_fields(self.state, seed=seed)
         return fraction * limit_ms
 
     def draw_index(self, count: int) -> int:
@@ -107,7 +107,7 @@
     def set_directory(self, directory: Directory) -> None:
         """Replace the directory, and raise the routing generation if its ready members changed."""
         old = self.state.directory
-        self.state = replace(self.state, directory=directory)
+        self.state = replace_fields(self.state, directory=directory)
         if directory.services is not old.services:
             self.raise_routing_generation()
 
@@ -122,24 +122,30 @@
 
     def raise_routing_generation(self) -> None:
         """Raise the routing generation after a change of the usable ready members."""
-        self.state = replace(self.state, routing_generation=self.state.routing_generation + 1)
+        self.state = replace_fields(
+            self.state, routing_generation=self.state.routing_generation + 1
+        )
 
     def change_own(self, **changes: Any) -> None:
         """Replace fields of ``state.own``."""
-        self.state = replace(self.state, own=replace(self.state.own, **changes))
+        self._change_part("own", changes)
 
     def change_overlay(self, **changes: Any) -> None:
         """Replace fields of ``state.overlay``."""
-        self.state = replace(self.state, overlay=replace(self.state.overlay, **changes))
+        self._change_part("overlay", changes)
 
     def change_detection(self, **changes: Any) -> None:
         """Replace fields of ``state.detection``."""
-        self.state = replace(self.state, detection=replace(self.state.detection, **changes))
+        self._change_part("detection", changes)
 
     def change_spreading(self, **changes: Any) -> None:
         """Replace fields of ``state.spreading``."""
-        self.state = replace(self.state, spreading=replace(self.state.spreading, **changes))
+        self._change_part("spreading", changes)
 
     def change_schedule(self, **changes: Any) -> None:
         """Replace fields of ``state.schedule``."""
-        self.state = replace(self.state, schedule=replace(self.state.schedule, **changes))
+        self._change_part("schedule", changes)
+
+    def _change_part(self, name: str, changes: dict[str, Any]) -> None:
+        part = replace_fields(getattr(self.state, name), **changes)
+        self.state = replace_fields(self.state, **{name: part})
--- a/packages/core/src/bamboonotch_core/outcomes/_attempts.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_attempts.py
@@ -11,6 +11,7 @@
 from bamboonotch_core.outcomes._budget import take_token
 from bamboonotch_core.outcomes._reasons import OVERLOAD_REASONS, AnswerReason
 from bamboonotch_core.outcomes._state import Attempt, OutcomeState, PendingRequest, Phase
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_effects import ForwardAttempt, Outcome
 from bamboonotch_core.routing import (
     UNKNOWN_WORK,
@@ -24,7 +25,6 @@
     has_no_room,
     record_end,
     record_forward,
-    replace_fields,
     select_candidates,
     view_of,
 )
--- a/packages/core/src/bamboonotch_core/outcomes/_budget.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_budget.py
@@ -17,7 +17,8 @@
 from immutables import Map
 
 from bamboonotch_core.outcomes._state import OutcomeState
-from bamboonotch_core.routing import RoutingTable, replace_fields
+from bamboonotch_core.replace import replace_fields
+from bamboonotch_core.routing import RoutingTable
 from bamboonotch_core.settings import RequestSettings
 
 __all__ = ["RetryBudget", "earn_token", "make_retry_budget", "take_token"]
--- a/packages/core/src/bamboonotch_core/outcomes/_expiry.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_expiry.py
@@ -8,8 +8,9 @@
 from bamboonotch_core.outcomes._attempts import end_attempt, finish_request, on_unknown
 from bamboonotch_core.outcomes._reasons import AnswerReason
 from bamboonotch_core.outcomes._state import OutcomeState, PendingRequest, Phase
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_effects import CancelAttempt, Outcome, SendFence
-from bamboonotch_core.routing import RoutingTable, Verdict, replace_fields
+from bamboonotch_core.routing import RoutingTable, Verdict
 from bamboonotch_core.transition import Transition
 
 __all__ = ["cancel_effects", "expire", "fence_effect"]
--- a/packages/core/src/bamboonotch_core/outcomes/_reducer.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reducer.py
@@ -23,6 +23,7 @@
 from bamboonotch_core.outcomes._patience import is_returning, record_timeout
 from bamboonotch_core.outcomes._reasons import BUSY_REASONS, AnswerReason, RefusalReason
 from bamboonotch_core.outcomes._state import OutcomeState, PendingRequest, Phase
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_effects import Outcome, PassResponse
 from bamboonotch_core.request_events import (
     AttemptLost,
@@ -50,7 +51,6 @@
     record_refusal,
     record_service_time,
     record_work,
-    replace_fields,
 )
 from bamboonotch_core.transition import Transition
 
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 from functools import singledispatch
 from typing import Any
 
@@ -42,6 +41,7 @@
     routing_generation,
 )
 from bamboonotch_core.outcomes import reduce_outcomes
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import (
     BackendFinished,
     CallerGone,
@@ -81,7 +81,7 @@
     membership = reduce_membership(state.membership, event, versions)
     view = refresh_view(state.view, state.membership, membership.state)
     distribution = _follow_versions(state.distribution, event, view)
-    after = replace(
+    after = replace_fields(
         state,
         membership=membership.state,
         view=view,
@@ -143,7 +143,7 @@
     if unchanged:
         return after
     if not distribution.serving:
-        return replace(after, table=NOT_SERVING_TABLE)
+        return replace_fields(after, table=NOT_SERVING_TABLE)
     membership = after.membership
     members = {
         service: members_of_service(membership, service) for service in ready_services(membership)
@@ -151,18 +151,18 @@
     table = build_routing_table(
         distribution.running_configuration, distribution.running_version, members, before.table
     )
-    return replace(after, table=table)
+    return replace_fields(after, table=table)
 
 
 def _reduce_ingress(event: Event, state: NodeState) -> NodeTransition:
     outcomes = reduce_outcomes(state.outcomes, event, state.table)
-    return Transition(replace(state, outcomes=outcomes.state), outcomes.effects)
+    return Transition(replace_fields(state, outcomes=outcomes.state), outcomes.effects)
 
 
 def _reduce_owner(event: Event, state: NodeState) -> NodeTransition:
     configuration = state.distribution.running_configuration
     admission = reduce_admission(state.admission, event, configuration)
-    return Transition(replace(state, admission=admission.state), admission.effects)
+    return Transition(replace_fields(state, admission=admission.state), admission.effects)
 
 
 def _reduce_control(event: Event, state: NodeState) -> NodeTransition:
@@ -198,7 +198,7 @@
             ("sequence", -1 if event.sequence is None else event.sequence),
         )
         return Transition(state, (Report("announcement-outdated", fields),))
-    return _reduce_all(event, replace(state, announcement=event))
+    return _reduce_all(event, replace_fields(state, announcement=event))
 
 
 @_reduce_event.register
@@ -206,7 +206,7 @@
     if state.shutdown_deadline_ms is not None:
         return Transition(state)
     requests = state.membership.settings.requests
-    state = replace(
+    state = replace_fields(
         state,
         shutdown_deadline_ms=event.now_ms + requests.longest_shutdown_ms,
         shutdown_drain_ms=event.now_ms + requests.drain_after_ms,
@@ -221,7 +221,7 @@
         return Transition(state)
     # Outcomes are told later: work in flight at the backend server may call other services.
     event = ShutdownRequested(now_ms)
-    control = _reduce_control(event, replace(state, shutdown_drain_ms=None))
+    control = _reduce_control(event, replace_fields(state, shutdown_drain_ms=None))
     owner = _reduce_owner(event, control.state)
     return Transition(owner.state, control.effects + owner.effects)
 
@@ -241,7 +241,7 @@
     if not _may_leave(state, event.now_ms):
         return transition
     leaving = finish_shutdown(state.membership, event.now_ms, _local_versions(state))
-    state = replace(state, membership=leaving.state, stop_ms=event.now_ms + STOP_DELAY_MS)
+    state = replace_fields(state, membership=leaving.state, stop_ms=event.now_ms + STOP_DELAY_MS)
     return Transition(state, transition.effects + leaving.effects)
 
 
@@ -252,7 +252,7 @@
     if wanted is None or wanted == state.competing:
         return transition
     effect = CompeteForSlot() if wanted else StopCompeting()
-    return Transition(replace(state, competing=wanted), (*transition.effects, effect))
+    return Transition(replace_fields(state, competing=wanted), (*transition.effects, effect))
 
 
 def _must_refuse_callers(state: NodeState, now_ms: float) -> bool:
--- a/packages/core/src/bamboonotch_core/routing/__init__.py
+++ b/packages/core/src/bamboonotch_core/routing/__init__.py
@@ -30,7 +30,6 @@
     view_of,
 )
 from bamboonotch_core.routing._random import draw_below, next_seed
-from bamboonotch_core.routing._replace import replace_fields
 from bamboonotch_core.routing._table import (
     NOT_SERVING_TABLE,
     NoMatch,
@@ -80,7 +79,6 @@
     "record_no_room",
     "record_refusal",
     "record_service_time",
-    "replace_fields",
     "select_candidates",
     "view_of",
 ]
--- a/packages/core/src/bamboonotch_core/routing/_owner_view.py
+++ b/packages/core/src/bamboonotch_core/routing/_owner_view.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from bamboonotch_core.configuration import Rank
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.routing._candidates import CandidateSet
-from bamboonotch_core.routing._replace import replace_fields
 from bamboonotch_core.routing._table import Owner
 from bamboonotch_core.settings import RequestSettings
 
--- a/packages/core/tests/routing/test_choice.py
+++ b/packages/core/tests/routing/test_choice.py
@@ -9,6 +9,7 @@
 from immutables import Map
 
 from bamboonotch_core.member_record import MemberRecord, MemberState
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.routing import (
     CandidateSet,
     OwnerView,
@@ -17,7 +18,6 @@
     explain_route,
     record_end,
     record_forward,
-    replace_fields,
     select_candidates,
 )
 from bamboonotch_core.settings import RequestSettings
