Count pauses in every deadline, lease and idle time

Cause: the clock of leases, deadlines, proofs and idle connections was the monotonic one, which stands still while a machine is suspended; and a request or frame that waited unread during a pause was granted the whole time that it stated when it was sent. A node that woke up could start work on a permission that had ended, or reuse a connection that its backend server had dropped.

The clock is now CLOCK_BOOTTIME where the system has it, for the node, for relay slots and for idle connections. Until the next tick after a gap of 500 ms or more, the owner takes the gap off the time that a frame states, and the ingress off the time limit of a caller; a request that nobody waits for any more is refused without being passed on.

Ruled out: time stamps of the sender, since clocks of two machines differ and jump.

--- a/packages/node/src/bamboonotch_node/backend/_client.py
+++ b/packages/node/src/bamboonotch_node/backend/_client.py
@@ -32,7 +32,7 @@
         report: Callable[[Report], None],
         dialect: HttpDialect = OWN_DIALECT,
     ) -> None:
-        self._connections = BackendConnections(reactor, report)
+        self._connections = BackendConnections(reactor, report, clock)
         self._clock = clock
         self.load = load
         self._dialect = dialect
--- a/packages/node/src/bamboonotch_node/backend/_connections.py
+++ b/packages/node/src/bamboonotch_node/backend/_connections.py
@@ -148,10 +148,15 @@
     """Pool of connections to one address, each used by one request at a time.
 
     :param report: called with a report for each connection that broke after it was reused.
+    :param clock: clock in milliseconds that goes on while the process is paused, as the idle time
+        at the backend server does.
     """
 
-    def __init__(self, reactor: Any, report: Callable[[Report], None]) -> None:
+    def __init__(
+        self, reactor: Any, report: Callable[[Report], None], clock: Callable[[], float]
+    ) -> None:
         self._reactor = reactor
+        self._clock = clock
         self._report = report
         self._address = ""
         self._endpoint: Any = None
@@ -172,7 +177,7 @@
         :returns: the connection, or ``None`` when there is none below the idle limit.
         """
         self._set_address(address)
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._now_s()
         limit_s = self._idle_limit_s(now_s)
         if not idempotent:
             limit_s = min(limit_s, MAX_NON_IDEMPOTENT_IDLE_S)
@@ -193,7 +198,7 @@
         """
         if not connection.idle_s:
             return
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._now_s()
         limit_s = min(self._idle_limit_s(now_s), connection.idle_s / 2)
         self._reduced_idle_limit_s = max(MIN_IDLE_LIMIT_S, limit_s)
         self._limit_reduced_until_s = now_s + REDUCED_LIMIT_DURATION_S
@@ -234,7 +239,7 @@
             connection.transport.abortConnection()
             return
         loop = asyncio.get_running_loop()
-        self._idle.append((loop.time(), connection))
+        self._idle.append((self._now_s(), connection))
         if self._idle_check_timer is None:
             self._idle_check_timer = loop.call_later(IDLE_CHECK_INTERVAL_S, self._close_expired)
 
@@ -280,9 +285,12 @@
         """Return the idle time, in seconds, below which a connection may be reused."""
         return self._reduced_idle_limit_s if now_s < self._limit_reduced_until_s else IDLE_TIMEOUT_S
 
+    def _now_s(self) -> float:
+        return self._clock() / 1000
+
     def _close_expired(self) -> None:
         loop = asyncio.get_running_loop()
-        expired_before_s = loop.time() - IDLE_TIMEOUT_S
+        expired_before_s = self._now_s() - IDLE_TIMEOUT_S
         while self._idle and self._idle[0][0] <= expired_before_s:
             self._idle.popleft()[1].transport.loseConnection()
         self._idle_check_timer = (
--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -250,7 +250,8 @@
             attempt_id=head.attempt_id,
             service=head.service,
             request_class=head.request_class,
-            deadline_ms=self._server.clock() + head.remaining_ms,
+            # What is left was stated before the frame waited to be read.
+            deadline_ms=self._server.clock() + head.remaining_ms - self._server.unread_ms(),
             idempotent=head.idempotent,
             idempotency_key=head.idempotency_key,
             attempt=head.attempt,
@@ -304,6 +305,7 @@
     :param clock: monotonic clock in milliseconds.
     :param report: takes reports of faults.
     :param request_settings: returns the settings in force for requests.
+    :param unread_ms: returns for how long a frame that is read now may have waited.
     """
 
     def __init__(
@@ -314,8 +316,10 @@
         clock: Callable[[], float],
         report: Callable[[Report], None],
         request_settings: Callable[[], RequestSettings],
+        unread_ms: Callable[[], float],
     ) -> None:
         self.request_settings = request_settings
+        self.unread_ms = unread_ms
         self.owner = owner
         self.clock = clock
         self.report = report
--- a/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
@@ -32,6 +32,7 @@
 
 # Ids of callers that can stand in log lines and messages as they are.
 SAFE_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
+READ_TOO_LATE = "read-too-late"
 # How long callers have to read what was sent before the node ends.
 CLOSE_TIMEOUT_S = 0.5
 # Bodies of all requests in progress together; the node has 256 MB for everything.
@@ -63,6 +64,7 @@
     :param report: takes reports of faults.
     :param dialect: names and rules of the HTTP spoken.
     :param request_settings: returns the settings in force for requests.
+    :param unread_ms: returns for how long a request that is read now may have waited.
     """
 
     def __init__(
@@ -76,7 +78,9 @@
         report: Callable[[Report], None],
         dialect: HttpDialect,
         request_settings: Callable[[], RequestSettings],
+        unread_ms: Callable[[], float],
     ) -> None:
+        self.unread_ms = unread_ms
         self._dialect = dialect
         self._request_settings = request_settings
         self.service = settings.identity.service
@@ -186,6 +190,13 @@
         return read_request_headers(http_request.requestHeaders, self.settings, self._dialect)
 
     def _arrive(self, http_request: CallerHttpRequest, checked: RequestHeaders) -> None:
+        timeout_ms, unread_ms = checked.timeout_ms, self.unread_ms()
+        if timeout_ms is not None and unread_ms and timeout_ms > 0:
+            timeout_ms -= unread_ms
+            if timeout_ms <= 0:
+                # The caller no longer waits, and nobody was given the request.
+                self._answer(http_request, Outcome.NOT_RUN, READ_TOO_LATE, 503, 0)
+                return
         self._next_number += 1
         request_id = f"{self._id_prefix}{self._next_number:x}"
         if SAFE_ID.fullmatch(checked.caller_request_id):
@@ -206,7 +217,7 @@
                 request_id=request_id,
                 method=request.method,
                 path=request.path,
-                timeout_ms=checked.timeout_ms,
+                timeout_ms=timeout_ms,
                 idempotency_key=checked.idempotency_key,
                 attempt=checked.attempt,
                 unix_ms=int(time.time() * 1000),
--- a/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -41,6 +41,7 @@
     :param dialect: names and rules of the HTTP spoken.
     :param request_settings: returns the settings in force for requests; those of the node if not
         given.
+    :param unread_ms: returns for how long input that is read now may have waited, in milliseconds.
     """
 
     def __init__(
@@ -55,13 +56,16 @@
         clock: Callable[[], float] = now_ms,
         dialect: HttpDialect = OWN_DIALECT,
         request_settings: Callable[[], RequestSettings] | None = None,
+        unread_ms: Callable[[], float] = lambda: 0.0,
     ) -> None:
         requests = settings.requests
         in_force = request_settings or (lambda: requests)
         orphan_ms = requests.stream_silent_ms + SILENCE_CHECK_MS + requests.fence_timeout_ms
         self.backend = BackendClient(reactor, clock, load, report, dialect)
         self.owner = OwnerSide(self.backend, dispatch, clock, orphan_ms)
-        self.server = ForwardingServer(settings, incarnation, self.owner, clock, report, in_force)
+        self.server = ForwardingServer(
+            settings, incarnation, self.owner, clock, report, in_force, unread_ms
+        )
         self.ingress = HttpIngress(
             settings,
             incarnation,
@@ -72,6 +76,7 @@
             report,
             dialect,
             in_force,
+            unread_ms,
         )
         self.client = ForwardingClient(
             settings,
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -36,6 +36,7 @@
 from bamboonotch_node.http_ingress import RequestPath
 from bamboonotch_node.logs import RequestLog, log_event
 from bamboonotch_node.metrics import NodeMetrics
+from bamboonotch_node.pauses import PauseGauge
 from bamboonotch_node.runtime import _views as views
 from bamboonotch_node.runtime._request_observer import RequestObserver
 from bamboonotch_node.runtime._surroundings import OWN_SURROUNDINGS, Surroundings
@@ -81,6 +82,7 @@
         self._translation = dict(settings.address_translation)
         self._stack = contextlib.AsyncExitStack()
         self._ticker: asyncio.TimerHandle | None = None
+        self._pauses = PauseGauge(now_ms)
         self._path = RequestPath(
             settings,
             incarnation,
@@ -92,6 +94,7 @@
             now_ms,
             surroundings.dialect,
             self._find_request_settings,
+            self._pauses.unread_ms,
         )
         self._observer = RequestObserver(
             self._metrics,
@@ -250,6 +253,7 @@
     def _tick(self) -> None:
         self._ticker = asyncio.get_running_loop().call_later(TICK_S, self._tick)
         self.dispatch(Tick(now_ms()))
+        self._pauses.note_tick()
 
     def _handle(self, event: Event) -> None:
         self._observer.see_event(event)
--- a/packages/store/src/bamboonotch_store/slots.py
+++ b/packages/store/src/bamboonotch_store/slots.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import re
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -18,6 +17,7 @@
 from bamboonotch_core.errors import StoreError
 from bamboonotch_core.events import SlotHolder
 from bamboonotch_store.client import StoreClient, StoredEntry
+from bamboonotch_store.clock import now_ms
 
 __all__ = ["SlotKeeper", "SlotListing", "list_slot_holders"]
 
@@ -81,11 +81,6 @@
     return SlotListing(tuple(holders), tuple(malformed))
 
 
-def read_monotonic_ms() -> float:
-    """Read the monotonic clock, in milliseconds."""
-    return time.monotonic() * 1000
-
-
 class SlotKeeper:
     """Keeps trying to hold one of the relay slots of a data centre.
 
@@ -99,7 +94,7 @@
     :param on_obtained: called with the number of the slot.
     :param on_lost: called when the lease ended or could not be renewed in time.
     :param random: source of the jitter.
-    :param clock_ms: reads the monotonic clock, in milliseconds.
+    :param clock_ms: reads a clock that goes on while the process is paused, in milliseconds.
     """
 
     def __init__(
@@ -111,7 +106,7 @@
         on_obtained: Callable[[int], None],
         on_lost: Callable[[], None],
         random: Random,
-        clock_ms: Callable[[], float] = read_monotonic_ms,
+        clock_ms: Callable[[], float] = now_ms,
     ) -> None:
         self._client = client
         self._data_centre = data_centre
