Keep the departure of a backend server beyond the life of its node

It could happen here: a node that had acknowledged a departure and was killed knew nothing of it in its next life, and a heartbeat from before the departure, which came late, made the server ready again. A departure call that came before any heartbeat was acknowledged and forgotten.

The leased entry of the node now also holds the last departure. A node that starts reads its own entry before it writes it, takes the departure over, and keeps it in the entry; a planned end leaves the entry to its lease. A departure before the first heartbeat is taken with the id and start time that it states. The entry is written when the departure is acknowledged and again after an outage.

Ruled out: waiting for the write before the acknowledgement, since a store that is away would hold the server; asking peers, whose records do not name processes. Left open: a node that is killed within the milliseconds before the write arrives, or whose first read of the store is older than the write.

--- a/packages/core/src/bamboonotch_core/announcements.py
+++ b/packages/core/src/bamboonotch_core/announcements.py
@@ -8,9 +8,22 @@
 
 from bamboonotch_core.events import BackendServerAnnounced
 
-__all__ = ["is_outdated"]
+__all__ = ["is_new_departure", "is_outdated"]
 
 STOPPED = "stopped"
+LEAVING_STATES = frozenset({"draining", STOPPED})
+
+
+def is_new_departure(latest: BackendServerAnnounced | None, event: BackendServerAnnounced) -> bool:
+    """Tell whether a process says with this announcement that it leaves, or that it has left.
+
+    :param latest: the latest announcement taken before, or ``None``.
+    :param event: the announcement.
+    """
+    if event.state not in LEAVING_STATES or not event.instance_id:
+        return False
+    said = None if latest is None else (latest.instance_id, latest.started_unix_ms, latest.state)
+    return said != (event.instance_id, event.started_unix_ms, event.state)
 
 
 def is_outdated(latest: BackendServerAnnounced | None, event: BackendServerAnnounced) -> bool:
--- a/packages/core/src/bamboonotch_core/effects.py
+++ b/packages/core/src/bamboonotch_core/effects.py
@@ -4,12 +4,14 @@
 
 from dataclasses import dataclass
 
+from bamboonotch_core.events import BackendServerAnnounced
 from bamboonotch_core.messages import Message
 
 __all__ = [
     "CloseLink",
     "CompeteForSlot",
     "Effect",
+    "KeepDeparture",
     "OpenLink",
     "ReadNewest",
     "ReadSlots",
@@ -122,6 +124,18 @@
     """
 
 
+@dataclass(frozen=True)
+class KeepDeparture(Effect):
+    """Keep what a leaving backend server has said beyond the life of this process.
+
+    Answered by ``DepartureRecalled`` in the next process of this node.
+
+    :param announcement: what it said.
+    """
+
+    announcement: BackendServerAnnounced
+
+
 @dataclass(frozen=True)
 class Report(Effect):
     """Record one event in the log, the explain buffer and the metrics.
--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "BackendServerAnnounced",
+    "DepartureRecalled",
     "DocumentRead",
     "DocumentRefused",
     "DocumentUnchanged",
@@ -271,6 +272,16 @@
     cold_ms: float = 0.0
 
 
+@dataclass(frozen=True)
+class DepartureRecalled(Event):
+    """An earlier process of this node had acknowledged that a backend server leaves.
+
+    :param announcement: what the backend server had said, of which the time is not used.
+    """
+
+    announcement: BackendServerAnnounced
+
+
 @dataclass(frozen=True)
 class DrainRequested(Event):
     """An operator asked this node to take no new work for its backend server."""
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -9,7 +9,7 @@
 from bamboonotch_core._membership_view import refresh_view
 from bamboonotch_core._slot_competition import wants_slot
 from bamboonotch_core.admission import is_idle, reduce_admission, with_incarnation
-from bamboonotch_core.announcements import is_outdated
+from bamboonotch_core.announcements import is_new_departure, is_outdated
 from bamboonotch_core.distribution import (
     DistributionState,
     MembershipView,
@@ -19,12 +19,14 @@
 from bamboonotch_core.effects import (
     CompeteForSlot,
     Effect,
+    KeepDeparture,
     Report,
     StopCompeting,
     StopProcess,
 )
 from bamboonotch_core.events import (
     BackendServerAnnounced,
+    DepartureRecalled,
     DrainRequested,
     Event,
     ShutdownRequested,
@@ -211,7 +213,25 @@
             ("sequence", -1 if event.sequence is None else event.sequence),
         )
         return Transition(state, (Report("announcement-outdated", fields),))
-    return _reduce_all(event, replace_fields(state, announcement=event))
+    departure = is_new_departure(state.announcement, event)
+    transition = _reduce_all(event, replace_fields(state, announcement=event))
+    if not departure:
+        return transition
+    return Transition(transition.state, (*transition.effects, KeepDeparture(event)))
+
+
+@_reduce_event.register
+def _(event: DepartureRecalled, state: NodeState) -> NodeTransition:
+    """Take over what an earlier process had acknowledged, unless a later server is there."""
+    recalled = replace_fields(event.announcement, now_ms=event.now_ms)
+    latest = state.announcement
+    if latest is not None and latest.instance_id != recalled.instance_id:
+        return Transition(state)
+    if is_outdated(latest, recalled):
+        return Transition(state)
+    fields = (("instance_id", recalled.instance_id), ("state", recalled.state))
+    transition = _reduce_all(recalled, replace_fields(state, announcement=recalled))
+    return Transition(transition.state, (Report("departure-recalled", fields), *transition.effects))
 
 
 @_reduce_event.register
--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -11,9 +11,10 @@
 from twisted.internet.defer import Deferred
 
 from bamboonotch_core.documents import WATCH_DOCUMENT
-from bamboonotch_core.effects import CompeteForSlot, ReadSlots, Report, WatchDocument
+from bamboonotch_core.effects import CompeteForSlot, KeepDeparture, ReadSlots, Report, WatchDocument
 from bamboonotch_core.errors import BamboonotchError, StoreError, StoreValueError
 from bamboonotch_core.events import (
+    DepartureRecalled,
     DocumentRead,
     DocumentRefused,
     DocumentUnchanged,
@@ -59,7 +60,13 @@
         self._dispatch = dispatch
         self._report = report
         self._registration = Registration(
-            store, settings.identity, settings.store.lease_ms, reactor, random, report
+            store,
+            settings.identity,
+            settings.store.lease_ms,
+            reactor,
+            random,
+            report,
+            lambda announcement: dispatch(DepartureRecalled(now_ms(), announcement)),
         )
         self._tasks = StoreTasks(report)
 
@@ -82,6 +89,7 @@
             WatchDocument: self._watch_document,
             ReadSlots: self._read_slots,
             CompeteForSlot: self._register,
+            KeepDeparture: self._keep_departure,
         }
 
     def _watch_document(self, effect: WatchDocument) -> None:
@@ -95,6 +103,9 @@
         del effect
         self._registration.start()
 
+    def _keep_departure(self, effect: KeepDeparture) -> None:
+        self._registration.keep_departure(effect.announcement)
+
     async def _answer(
         self, operation: StoreOperation, work: Coroutine[Deferred[Any], Any, Event]
     ) -> None:
--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -1,6 +1,7 @@
 """The leased entry by which other nodes find this one.
 
-The entry gives no authority: it is an address to dial, and a stale one costs a failed dial.
+The entry gives no authority: it is an address to dial, and a stale one costs a failed dial. It also
+keeps what a leaving backend server has said, for the next process of this node.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 
 from bamboonotch_core.effects import Report
 from bamboonotch_core.errors import StoreError
-from bamboonotch_core.events import SlotHolder
+from bamboonotch_core.events import BackendServerAnnounced, SlotHolder
 from bamboonotch_core.settings import IdentitySettings
 from bamboonotch_store.errors import LeaseEndedError
 from bamboonotch_store.shared import Lease, SharedEntry, SharedStore
@@ -23,6 +24,16 @@
 __all__ = ["MEMBER_PREFIX", "MemberListing", "Registration", "read_registered"]
 
 MEMBER_PREFIX = "bamboonotch/member/"
+# Fields of an announcement that an entry keeps, and their types in JSON.
+DEPARTURE_FIELDS: dict[str, tuple[type, ...]] = {
+    "service": (str,),
+    "address": (str,),
+    "slots": (int,),
+    "state": (str,),
+    "instance_id": (str,),
+    "started_unix_ms": (int,),
+    "sequence": (int, type(None)),
+}
 RENEWALS_PER_LEASE = 3
 # Waits after a failed call, doubled with each failure; half of each is random, because a herd
 # would otherwise return to the store at once.
@@ -55,6 +66,25 @@
     return SlotHolder(data_centre, 0, address)
 
 
+def _encode_departure(announcement: BackendServerAnnounced) -> dict[str, Any]:
+    return {name: getattr(announcement, name) for name in DEPARTURE_FIELDS}
+
+
+def _parse_departure(data: bytes) -> BackendServerAnnounced | None:
+    """Return the departure in an entry, or ``None`` if there is none or it is malformed."""
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError):
+        return None
+    raw = value.get("departure") if isinstance(value, dict) else None
+    if not isinstance(raw, dict):
+        return None
+    for name, kinds in DEPARTURE_FIELDS.items():
+        if type(raw.get(name)) not in kinds:
+            return None
+    return BackendServerAnnounced(now_ms=0.0, **{name: raw[name] for name in DEPARTURE_FIELDS})
+
+
 async def read_registered(store: SharedStore) -> MemberListing:
     """Read the registered nodes.
 
@@ -81,6 +111,7 @@
     :param reactor: Twisted reactor.
     :param random: source of jitter.
     :param report: takes reports.
+    :param recalled: takes the departure that an earlier process of this node had kept.
     """
 
     def __init__(
@@ -91,6 +122,7 @@
         reactor: Any,
         random: Random,
         report: Callable[[Report], None],
+        recalled: Callable[[BackendServerAnnounced], None],
     ) -> None:
         self._store = store
         self._identity = identity
@@ -101,6 +133,10 @@
         self._lease: Lease | None = None
         self._loop: Deferred[None] | None = None
         self._failures = 0
+        self._recalled = recalled
+        self._is_entry_read = False
+        self._departure: BackendServerAnnounced | None = None
+        self._is_entry_current = False
 
     def start(self) -> None:
         """Register, and stay registered until stopped."""
@@ -108,13 +144,24 @@
             self._loop = Deferred.fromCoroutine(self._keep())
             self._loop.addErrback(self._stopped)
 
+    def keep_departure(self, announcement: BackendServerAnnounced) -> None:
+        """Keep what a leaving backend server has said in the entry.
+
+        :param announcement: what it said.
+        """
+        self._departure = announcement
+        self._is_entry_current = False
+        if self._lease is not None:
+            writing = Deferred.fromCoroutine(self._write_entry(self._lease))
+            writing.addErrback(self._write_failed)
+
     async def stop(self) -> None:
-        """Give the entry up."""
+        """Give the entry up, unless the next process needs it; it then ends with its lease."""
         if self._loop is not None:
             self._loop.cancel()
             self._loop = None
         lease, self._lease = self._lease, None
-        if lease is not None:
+        if lease is not None and self._departure is None:
             await self._store.end_lease(lease)
 
     def _stopped(self, failure: Any) -> None:
@@ -136,15 +183,37 @@
 
     async def _renew(self) -> float:
         """Register or renew, and return the wait until the next renewal, in seconds."""
+        if not self._is_entry_read:
+            await self._read_own_entry()
         if self._lease is None:
             lease = await self._store.create_lease(self._lease_ms)
-            await self._store.write_entry(self._key(), self._value(), lease)
+            await self._write_entry(lease)
             self._lease = lease
             self._report(Report("registered", (("lifetime_ms", lease.lifetime_ms),)))
         else:
             await self._store.renew_lease(self._lease)
+            if not self._is_entry_current:
+                await self._write_entry(self._lease)
         return self._lease.lifetime_ms / 1000 / RENEWALS_PER_LEASE
 
+    async def _read_own_entry(self) -> None:
+        """Recall a departure from the entry of an earlier process, before it is overwritten."""
+        for entry in await self._store.read_entries(self._key()):
+            departure = _parse_departure(entry.value) if entry.key == self._key() else None
+            if departure is not None:
+                self._departure = self._departure or departure
+                self._recalled(departure)
+        self._is_entry_read = True
+
+    async def _write_entry(self, lease: Lease) -> None:
+        departure = self._departure
+        await self._store.write_entry(self._key(), self._value(), lease)
+        self._is_entry_current = departure is self._departure
+
+    def _write_failed(self, failure: Any) -> None:
+        # The next renewal writes the entry again.
+        self._report(Report("departure-not-kept", (("reason", str(failure.value)),)))
+
     def _note_failure(self, error: StoreError) -> float:
         if not self._failures:
             self._report(Report("registration-delayed", (("reason", str(error)),)))
@@ -158,7 +227,12 @@
 
     def _value(self) -> bytes:
         identity = self._identity
-        value = {"data_centre": identity.data_centre, "peer_address": identity.peer_address}
+        value: dict[str, Any] = {
+            "data_centre": identity.data_centre,
+            "peer_address": identity.peer_address,
+        }
+        if self._departure is not None:
+            value["departure"] = _encode_departure(self._departure)
         return json.dumps(value).encode()
 
     def _sleep(self, wait_s: float) -> Deferred[None]:
--- a/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
+++ b/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
@@ -189,6 +189,16 @@
     async def beat(self) -> int:
         """Send a heartbeat and return the status of its acknowledgement."""
         self._sequence += 1
+        return await self._send_heartbeat(self.state, self._sequence)
+
+    async def beat_late(self) -> int:
+        """Send the heartbeat before the last one again, as if it had been delayed.
+
+        :returns: the status of its acknowledgement.
+        """
+        return await self._send_heartbeat("ready", self._sequence - 1)
+
+    async def _send_heartbeat(self, state: str, sequence: int) -> int:
         body = {
             "address": self.address,
             "born": self.plan.started_unix_ms,
@@ -198,7 +208,7 @@
                 "zone": "ktm-a",
                 "slots": self.plan.slots,
             },
-            "status": {"state": self.state, "sequence": self._sequence, "cold-left-s": 0},
+            "status": {"state": state, "sequence": sequence, "cold-left-s": 0},
         }
         return await self._call(b"PUT", json.dumps(body).encode())
 
