Let neighbours of lost readers read the store

Cause: the two nodes of a region that watch the store were replaced only when their death was agreed on: about 1.2 s after a kill, but over 4 s after a loss of power, since a link is silent for 1.5 s, a dial takes 1.5 s to fail, and a suspect has 1 s to refute. A version written right after both readers lost power came later than the 3 s within which it must be in force.

Now there are three readers; a member that others suspect is none; and a neighbour of a reader reads as well while it has no link to it, which begins with the silence of the link.

Ruled out: watches of 1 s, which double the calls of the store at rest for all time.

--- a/packages/core/src/bamboonotch_core/membership/_views.py
+++ b/packages/core/src/bamboonotch_core/membership/_views.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 
 from immutables import Map
 
@@ -31,8 +33,9 @@
     "routing_generation",
 ]
 
-# When the region has no live slot holder, this many members of lowest hash read the store.
-FALLBACK_READERS = 2
+# When the region has no live slot holder, this many members of lowest hash read the store. Two may
+# be lost at the same moment, together with others, right before a new version.
+FALLBACK_READERS = 3
 
 
 class LinkKind(Enum):
@@ -162,8 +165,9 @@
 def is_store_reader(state: MembershipState) -> bool:
     """Return whether this node watches the store for new versions.
 
-    These are the relay-slot holders in the store's region or, without any, its two members of
-    lowest hash.
+    These are the relay-slot holders in the store's region or, without any, its members of lowest
+    hash that nobody suspects. A neighbour of a reader reads as well while it has no link to it,
+    because a VM that lost its power is suspected only seconds later.
     """
     own = state.own.record
     if own.region != state.settings.store.region:
@@ -172,8 +176,24 @@
         return True
     if state.directory.regions[own.region].slot_holders:
         return False
-    readers = [node_id for _, node_id in state.overlay.ring[:FALLBACK_READERS]]
-    return own.node_id in readers
+    readers = tuple(islice(_unsuspected_ring_members(state), FALLBACK_READERS))
+    return own.node_id in readers or any(_is_missing_neighbour(state, item) for item in readers)
+
+
+def _unsuspected_ring_members(state: MembershipState) -> Iterator[str]:
+    """Yield the members of the region in ring order, without those that others suspect."""
+    own_id, detection = state.own.record.node_id, state.detection
+    for _, node_id in state.overlay.ring:
+        suspected = node_id in detection.suspicion_reports or node_id in detection.suspects
+        if node_id == own_id or not suspected:
+            yield node_id
+
+
+def _is_missing_neighbour(state: MembershipState, node_id: str) -> bool:
+    """Return whether the overlay wants a link to a member that is not open."""
+    overlay = state.overlay
+    wanted = node_id in overlay.successors or node_id in overlay.predecessors
+    return wanted and node_id not in overlay.by_peer
 
 
 def is_lowest_slot(state: MembershipState) -> bool:
