--- a/packages/core/src/bamboonotch_core/replace.py
+++ b/packages/core/src/bamboonotch_core/replace.py
@@ -21,10 +21,11 @@
     :raises TypeError: when ``changes`` names a field that the dataclass does not have.
     """
     fields = instance.__dict__
-    if not changes.keys() <= fields.keys():
+    copy = object.__new__(type(instance))
+    copied = copy.__dict__
+    copied.update(fields)
+    copied.update(changes)
+    if len(copied) != len(fields):
         unknown = ", ".join(sorted(changes.keys() - fields.keys()))
         raise TypeError(f"{type(instance).__name__} has no field {unknown}")
-    copy = object.__new__(type(instance))
-    copy.__dict__.update(fields)
-    copy.__dict__.update(changes)
     return copy
