--- a/packages/node/src/bamboonotch_node/pauses.py
+++ b/packages/node/src/bamboonotch_node/pauses.py
@@ -6,8 +6,8 @@
 
 __all__ = ["PauseGauge"]
 
-# Ticks come every 100 ms; a gap of this length means that the process did not run.
-PAUSE_MS = 500.0
+# Ticks come every 100 ms. The loop of a process that is short of processor time is late by less.
+PAUSE_MS = 1000.0
 
 
 class PauseGauge:
