Ping a forward stream only when no frames passed lately

Cause: each use of a stream at rest began with a ping, and each stream in use was pinged twice a second whatever passed on it. With 195 nodes a node uses each of its 36 streams every few seconds, so most requests cost a ping and a pong; with 14 nodes and 100 requests a second, pings and pongs were about half of the frames.

Now the first ping follows when a use lasts 0.5 s, and a ping is sent only if nothing was heard or nothing was sent for that long; the other end judges silence by what it hears. A silent connection is noticed as late as before.

Ruled out: pings only when nothing was heard, which would leave an owner that sends a long response without anything to hear.

--- a/packages/node/src/bamboonotch_node/forwarding/_stream.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_stream.py
@@ -54,8 +54,8 @@
 class FrameStream:
     """Reads, writes and watches one gRPC stream until it ends.
 
-    A stream is checked for silence only while it is in use, so that the cost of streams follows the
-    requests and not the number of owners.
+    A stream is checked for silence only while it is in use, and pinged only when no frames passed
+    both ways lately. So the cost of streams follows the requests and not the number of owners.
 
     :param identity: this end.
     :param read: reads one frame, or ``grpc.aio.EOF``.
@@ -80,6 +80,7 @@
         self._loop = asyncio.get_running_loop()
         self._closed: asyncio.Future[str] = self._loop.create_future()
         self._heard_s = self._loop.time()
+        self._sent_s = self._heard_s
         self._check: asyncio.TimerHandle | None = None
         self._ping_number = 0
 
@@ -110,8 +111,8 @@
         self._heard_s = self._loop.time()
         if self._check is not None:
             self._check.cancel()
+        # The first ping follows only if the use lasts until the check, as most do not.
         self._schedule_check()
-        self._ping()
 
     async def wait_closed(self) -> str:
         """Wait until the stream is to end and return the reason."""
@@ -193,6 +194,7 @@
                     await self.outbox.wait()
                 else:
                     await self._write(frame)
+                    self._sent_s = self._loop.time()
         except grpc.RpcError:
             # The reader reports the status of the call.
             pass
@@ -219,10 +221,12 @@
             self._resting = True
             self._check = self._loop.call_later(REST_LIMIT_S, self._check_life)
             return
-        self._ping()
+        if now_s - min(self._heard_s, self._sent_s) >= PING_INTERVAL_S:
+            self._ping()
         self._schedule_check()
 
     def _ping(self) -> None:
+        """Make the other end send a frame, and let it hear one."""
         if self._identity.pings and self.peer is not None:
             self._ping_number += 1
             self.send(pb.ForwardFrame(ping=pb.Ping(number=self._ping_number)))
