Keep a departure once, not again when the server is gone

Cause: a server that drains and then leaves cost two writes of the store. The first one is enough: a heartbeat from before it has a lower sequence number.

--- a/packages/core/src/bamboonotch_core/announcements.py
+++ b/packages/core/src/bamboonotch_core/announcements.py
@@ -15,15 +15,19 @@
 
 
 def is_new_departure(latest: BackendServerAnnounced | None, event: BackendServerAnnounced) -> bool:
-    """Tell whether a process says with this announcement that it leaves, or that it has left.
+    """Tell whether a process says for the first time that it leaves.
+
+    What it says after that adds nothing: its earlier heartbeats have lower sequence numbers.
 
     :param latest: the latest announcement taken before, or ``None``.
     :param event: the announcement.
     """
     if event.state not in LEAVING_STATES or not event.instance_id:
         return False
-    said = None if latest is None else (latest.instance_id, latest.started_unix_ms, latest.state)
-    return said != (event.instance_id, event.started_unix_ms, event.state)
+    if latest is None or latest.state not in LEAVING_STATES:
+        return True
+    process = (event.instance_id, event.started_unix_ms)
+    return (latest.instance_id, latest.started_unix_ms) != process
 
 
 def is_outdated(latest: BackendServerAnnounced | None, event: BackendServerAnnounced) -> bool:
