--- a/packages/core/tests/test_announcements.py
+++ b/packages/core/tests/test_announcements.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from bamboonotch_core.events import BackendServerAnnounced
+from bamboonotch_core.effects import Effect, KeepDeparture
+from bamboonotch_core.events import BackendServerAnnounced, DepartureRecalled, Event
 from bamboonotch_core.reducer import reduce
 from bamboonotch_core.state import make_node_state
 from tests.routing.builders import make_settings
@@ -63,3 +64,67 @@
         self._hear(_announce("a", "ready", 4, started=0))
         self.assertEqual(self._hear(_announce("b", "stopped", None, started=0)), "a ready")
         self.assertEqual(self._hear(_announce("b", "ready", 1, started=0)), "b ready")
+
+
+class DepartureRecallTest(unittest.TestCase):
+    """What a process that starts takes over from the one before.
+
+    Pattern: a node acknowledges that its backend server leaves, is killed and starts again, and a
+    heartbeat from before the acknowledgement comes late.
+    """
+
+    def setUp(self) -> None:
+        """Start a node."""
+        self.state = make_node_state(make_settings(), 1, 1, 0.0)
+
+    def _reduce(self, event: Event) -> tuple[Effect, ...]:
+        transition = reduce(self.state, event)
+        self.state = transition.state
+        return transition.effects
+
+    def _recall(self, announcement: BackendServerAnnounced) -> None:
+        self._reduce(DepartureRecalled(2.0, announcement))
+
+    def _state(self) -> str:
+        return f"{self.state.announcement.instance_id} {self.state.admission.backend.state}"
+
+    def _kept(self, event: BackendServerAnnounced) -> list[str]:
+        effects = self._reduce(event)
+        return [item.announcement.state for item in effects if isinstance(item, KeepDeparture)]
+
+    def test_departure_is_kept_once(self) -> None:
+        """Guards against a departure that only the memory of one process holds."""
+        self.assertEqual(self._kept(_announce("a", "ready", 4)), [])
+        self.assertEqual(self._kept(_announce("a", "draining", 6)), ["draining"])
+        self.assertEqual(self._kept(_announce("a", "draining", 7)), [])
+        self.assertEqual(self._kept(_announce("a", "stopped", None)), [])
+        self.assertEqual(self._kept(_announce("b", "ready", 1, started=2000)), [])
+        self.assertEqual(self._kept(_announce("b", "stopped", None, started=2000)), ["stopped"])
+
+    def test_late_heartbeat_after_a_restart(self) -> None:
+        """Guards against a server that has left and is used again after a restart."""
+        self._recall(_announce("a", "draining", 6))
+        self._reduce(_announce("a", "ready", 5))
+        self.assertEqual(self._state(), "a draining")
+
+    def test_late_heartbeat_of_a_server_that_is_gone(self) -> None:
+        """Guards against a server that never drained and is used again after a restart."""
+        self._recall(_announce("a", "stopped", None))
+        self._reduce(_announce("a", "ready", 9))
+        self.assertEqual(self._state(), "a stopped")
+
+    def test_late_heartbeat_comes_before_the_recall(self) -> None:
+        """Guards against a departure that is ignored because a heartbeat was faster."""
+        self._reduce(_announce("a", "ready", 5))
+        self._recall(_announce("a", "draining", 6))
+        self.assertEqual(self._state(), "a draining")
+
+    def test_later_process_is_used(self) -> None:
+        """Guards against a new server that gets no work because its predecessor left."""
+        self._recall(_announce("a", "stopped", None))
+        self._reduce(_announce("b", "ready", 1, started=2000))
+        self.assertEqual(self._state(), "b ready")
+        self._recall(_announce("a", "stopped", None))
+        self.assertEqual(self._state(), "b ready")
+        self._reduce(_announce("a", "ready", 1, started=3000))
+        self.assertEqual(self._state(), "a ready")
