Continue a response on a new stream when its stream is lost in the middle

Cause: an ingress that lost a stream ended every response on it whose head had arrived, because the owner kept nothing of a response over 16 KB. A stream is lost while owner and ingress are both well: a full link, a reset connection, a silent one. A response over 16 KB was lost in the same way when its head had left the owner but had not arrived: the fence was then answered "finished", without the response.

Now the owner keeps each part of a body until the ingress has returned credit for it, and the end of a response for a while after it has left. The ingress asks on a new stream for the rest, from the byte that it has come to (Resume), and the owner continues there (ResumeReply, then chunks). Another incarnation, an owner that no longer holds the bytes, no answer within fence_timeout_ms, or the sixth lost stream of a response break it off as before. Questions are numbered, so that one that a lost stream delivers late cannot take the response back. A fence after a resumption no longer starts the response again. The sink of a lost stream no longer holds the backend server up.

Mixed versions: an older owner ignores a frame that it does not know, so the response ends as unanswered after fence_timeout_ms. A field in Fence would have made it send a small response from its start.

Bounds: all that is kept counts towards MAX_KEPT_RESPONSE_BYTES (8 MiB), which before counted ended responses up to 16 KB only; when it is reached, responses that have left are dropped first, oldest first.

test_broken_transfer_reaches_caller_as_broken expected that one lost stream breaks a response off. It now also refuses new streams, and checks as before that what breaks off does not look complete.

--- a/packages/node/src/bamboonotch_node/forwarding/_client.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_client.py
@@ -29,6 +29,8 @@
 __all__ = ["ForwardingClient"]
 
 FENCE_RETRY_S = 0.1
+# Streams that one response may lose before it is broken off.
+MAX_RESUMPTIONS = 5
 
 
 @dataclass
@@ -47,6 +49,19 @@
     timer: asyncio.TimerHandle
 
 
+@dataclass
+class _Resumption:
+    """A response whose stream was lost, until the owner continues it over another one.
+
+    :param timer: ends the wait.
+    :param number: number of the last question to the owner; 0 before the first.
+    """
+
+    attempt: IncomingAttempt
+    timer: asyncio.TimerHandle
+    number: int = 0
+
+
 class ForwardingClient:
     """Carries attempts to their owners and reports what becomes of them.
 
@@ -81,6 +96,8 @@
         self._attempts: dict[str, IncomingAttempt] = {}
         self._by_request: dict[str, list[str]] = {}
         self._fences: dict[str, _Fence] = {}
+        self._resumptions: dict[str, _Resumption] = {}
+        self._resumption_number = 0
         identity = StreamIdentity(
             node_id=self._node_id,
             incarnation=incarnation,
@@ -111,6 +128,9 @@
         for fence in list(self._fences.values()):
             fence.timer.cancel()
         self._fences.clear()
+        for resumption in self._resumptions.values():
+            resumption.timer.cancel()
+        self._resumptions.clear()
         await self._pool.close()
 
     @property
@@ -202,6 +222,7 @@
         effect = attempt.effect
         sent = attempt.is_sent()
         attempt.discard()
+        self._drop_resumption(effect.attempt_id)
         if effect.owner_id == self._node_id:
             self._owner.cancel(effect.attempt_id)
             return
@@ -236,11 +257,16 @@
                 ),
             )
         )
+        for attempt_id, resumption in self._resumptions.items():
+            if resumption.attempt.effect.owner_id == stream.owner_id:
+                asyncio.get_running_loop().call_later(
+                    FENCE_RETRY_S, self._ask_to_resume, attempt_id
+                )
         for attempt in list(stream.attempts.values()):
             if attempt.ended:
                 continue
             if attempt.head is not None:
-                attempt.finish(False)
+                self._start_resumption(attempt)
                 continue
             sent = attempt.is_sent()
             if attempt.request_body is not None:
@@ -250,6 +276,86 @@
             if fence.effect.owner_id == stream.owner_id:
                 asyncio.get_running_loop().call_later(FENCE_RETRY_S, self._ask_fence, fence)
 
+    def _start_resumption(self, attempt: IncomingAttempt) -> None:
+        attempt_id = attempt.effect.attempt_id
+        attempt.detach()
+        if attempt_id in self._resumptions:
+            return
+        attempt.resumptions += 1
+        timer = asyncio.get_running_loop().call_later(
+            self._fence_timeout_s, self._break_off, attempt_id, "no-answer"
+        )
+        self._resumptions[attempt_id] = _Resumption(attempt, timer)
+        if attempt.resumptions > MAX_RESUMPTIONS:
+            self._break_off(attempt_id, "too-many-streams-lost")
+        else:
+            self._ask_to_resume(attempt_id)
+
+    def _ask_to_resume(self, attempt_id: str) -> None:
+        resumption = self._resumptions.get(attempt_id)
+        if resumption is None:
+            return
+        effect = resumption.attempt.effect
+        stream = self._pool.obtain(effect.owner_id, effect.owner_address)
+        if stream is None:
+            self._break_off(attempt_id, "too-many-streams")
+            return
+        stream.when_open(lambda: self._send_resume(attempt_id, stream))
+
+    def _send_resume(self, attempt_id: str, stream: OwnerStream) -> None:
+        resumption = self._resumptions.get(attempt_id)
+        if resumption is None or attempt_id in stream.attempts:
+            return
+        attempt, peer = resumption.attempt, stream.frames.peer
+        if peer is None or peer.incarnation != attempt.owner_incarnation:
+            # The process that held the response is gone, with what it held.
+            self._break_off(attempt_id, "owner-restarted")
+            return
+        self._bind(attempt, stream)
+        self._resumption_number += 1
+        resumption.number = self._resumption_number
+        stream.frames.send(
+            pb.ForwardFrame(
+                resume=pb.Resume(
+                    attempt_id=attempt_id,
+                    number=resumption.number,
+                    received_bytes=attempt.received_bytes,
+                    window_bytes=attempt.window_bytes,
+                )
+            )
+        )
+
+    def _resume_answered(self, reply: pb.ResumeReply) -> None:
+        resumption = self._resumptions.get(reply.attempt_id)
+        if resumption is None or resumption.number != reply.number:
+            return
+        if not reply.resumed:
+            self._break_off(reply.attempt_id, "not-kept")
+            return
+        self._drop_resumption(reply.attempt_id)
+        self._report_resumption("response-resumed", resumption.attempt)
+
+    def _break_off(self, attempt_id: str, reason: str) -> None:
+        resumption = self._resumptions.get(attempt_id)
+        if resumption is None:
+            return
+        self._drop_resumption(attempt_id)
+        self._report_resumption("response-broken-off", resumption.attempt, ("reason", reason))
+        resumption.attempt.finish(False)
+
+    def _drop_resumption(self, attempt_id: str) -> None:
+        resumption = self._resumptions.pop(attempt_id, None)
+        if resumption is not None:
+            resumption.timer.cancel()
+
+    def _report_resumption(
+        self, name: str, attempt: IncomingAttempt, *more: tuple[str, str]
+    ) -> None:
+        effect = attempt.effect
+        place = (("attempt_id", effect.attempt_id), ("owner_id", effect.owner_id))
+        size = ("received_bytes", attempt.received_bytes)
+        self._report(Report(name, (*place, size, *more)))
+
     def _fence_locally(self, effect: SendFence, attempt: IncomingAttempt) -> None:
         self._owner.fence(
             effect.attempt_id,
@@ -338,6 +444,8 @@
             self._refusal_received(stream, frame.refusal)
         elif kind == "fence_reply":
             self._end_fence(frame.fence_reply.fence_id, decode_fence_state(frame.fence_reply.state))
+        elif kind == "resume_reply":
+            self._resume_answered(frame.resume_reply)
 
     def _head_received(self, stream: OwnerStream, head: pb.ResponseHead) -> None:
         attempt = stream.attempts.get(head.attempt_id)
@@ -360,6 +468,8 @@
         attempt = stream.attempts.get(chunk.attempt_id)
         if attempt is None or attempt.head is None:
             return
+        if chunk.attempt_id in self._resumptions:
+            raise MessageError("chunk of a response that has not been resumed")
         attempt.write(chunk.data)
         if chunk.last:
             attempt.finish(not chunk.aborted)
--- a/packages/node/src/bamboonotch_node/forwarding/_incoming.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_incoming.py
@@ -38,6 +38,8 @@
         self.owner_incarnation: int | None = None
         self.return_credit: Callable[[int], None] | None = None
         self.on_ended: Callable[[], None] = lambda: None
+        self.received_bytes = 0
+        self.resumptions = 0
         self._dispatch = dispatch
         self._clock = clock
         self._source: FlowControl | None = None
@@ -53,6 +55,16 @@
         """Tell whether any byte of the attempt may have left."""
         return self.request_body is None or self.request_body.head_sent
 
+    @property
+    def window_bytes(self) -> int:
+        """How much more of the body the owner may send before any credit, in bytes."""
+        return WINDOW_BYTES - self._outstanding_bytes
+
+    def detach(self) -> None:
+        """Return no credit, because the stream was lost; the next one begins with the window."""
+        self.return_credit = lambda size_bytes: None
+        self.on_ended = lambda: None
+
     def set_source(self, source: FlowControl) -> None:
         """Name the source to hold up, for an attempt without a stream.
 
@@ -89,6 +101,7 @@
         """
         if self.ended or not data:
             return
+        self.received_bytes += len(data)
         if self.return_credit is not None:
             self._outstanding_bytes += len(data)
             if self._outstanding_bytes > WINDOW_BYTES:
--- a/packages/node/src/bamboonotch_node/forwarding/_outbox.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_outbox.py
@@ -14,7 +14,7 @@
 from bamboonotch_node.backend import FlowControl
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
-__all__ = ["CHUNK_BYTES", "WINDOW_BYTES", "Outbox", "OutgoingBody"]
+__all__ = ["CHUNK_BYTES", "WINDOW_BYTES", "HeadBuilder", "Outbox", "OutgoingBody"]
 
 CHUNK_BYTES = 16 * 1024
 WINDOW_BYTES = 64 * 1024
@@ -50,6 +50,14 @@
         self._closed = False
         self._source_paused = False
 
+    def skip_head(self, credit_bytes: int) -> None:
+        """Continue a message whose head and first bytes have left on another stream.
+
+        :param credit_bytes: how many bytes may leave before any credit.
+        """
+        self.head_sent = True
+        self._credit_bytes = credit_bytes
+
     def write(self, data: bytes) -> None:
         """Append to the body.
 
@@ -79,9 +87,12 @@
         self._outbox.enqueue(self)
 
     def discard(self) -> None:
-        """Send nothing more of this message."""
-        self._closed = True
+        """Send nothing more of this message, and hold its source up no longer."""
+        self._closed = self._ended = True
         self._pieces.clear()
+        if self._source_paused and self.source:
+            self._source_paused = False
+            self.source.resume()
 
     def add_credit(self, size_bytes: int) -> None:
         """Allow more bytes.
--- a/packages/node/src/bamboonotch_node/forwarding/_owner.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_owner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 
 from bamboonotch_core.events import Event
@@ -23,12 +22,13 @@
 )
 from bamboonotch_node.backend import BackendClient, OfferedWork
 from bamboonotch_node.forwarding._handlers import EffectHandlers
-from bamboonotch_node.forwarding._owned_attempt import OwnedAttempt
+from bamboonotch_node.forwarding._owned_attempt import OwnedAttempt, ResumePosition
 from bamboonotch_node.forwarding._sink import AttemptSink
 
 __all__ = ["OwnerSide"]
 
-# Bounds of the responses kept after their end, in case their stream turns out to be lost.
+# Bounds of what is kept of responses, in case their stream turns out to be lost: how many are kept
+# after their end, and the size of all together.
 MAX_KEPT_RESPONSES = 4096
 MAX_KEPT_RESPONSE_BYTES = 8 * 1024 * 1024
 # Fences without an answer from the decision code; it normally answers at once.
@@ -62,7 +62,8 @@
         self._clock = clock
         self._orphan_ms = orphan_ms
         self._attempts: dict[str, OwnedAttempt] = {}
-        self._kept: deque[tuple[float, int, OwnedAttempt]] = deque()
+        # By attempt, with the time until which each is kept; the oldest is the first.
+        self._kept: dict[str, float] = {}
         self._kept_bytes = 0
         self._sweep_due_ms = 0.0
         self._fences: dict[str, tuple[AttemptSink, FenceAnswerer]] = {}
@@ -71,6 +72,11 @@
         """Return the attempts in progress, without the responses kept after their end."""
         return max(0, len(self._attempts) - len(self._kept))
 
+    @property
+    def kept_bytes(self) -> int:
+        """Size of all parts of responses that are kept, in bytes."""
+        return self._kept_bytes
+
     def load(self) -> int:
         """Return the work in slots and queue."""
         return self._backend.load()
@@ -93,7 +99,7 @@
         if now_ms >= self._sweep_due_ms:
             self._sweep(now_ms)
         self._attempts[work.attempt_id] = OwnedAttempt(
-            work, sink, now_ms, replayable, self._response_passed
+            work, sink, now_ms, replayable, self._forget, self._kept_changed
         )
         self._dispatch(
             WorkOffered(
@@ -125,7 +131,7 @@
     def detach(self, attempt_id: str, sink: AttemptSink) -> None:
         """Note that the stream of an attempt was lost.
 
-        A fence on a new stream can adopt the attempt for a while, so that its answer still
+        The ingress can take the attempt to a new stream for a while, so that its answer still
         reaches the caller; after that it is cancelled.
 
         :param attempt_id: the attempt.
@@ -138,6 +144,7 @@
             self.cancel(attempt_id)
             return
         attempt.sink = None
+        sink.discard()
         attempt.orphan_timer = asyncio.get_running_loop().call_later(
             self._orphan_ms / 1000, self._abandon, attempt
         )
@@ -160,31 +167,68 @@
             FenceReceived(now_ms=self._clock(), attempt_id=attempt_id, fence_id=fence_id)
         )
 
+    def resume(self, attempt_id: str, sink: AttemptSink, position: ResumePosition) -> bool:
+        """Pass the rest of a response that has begun to another sink.
+
+        :param attempt_id: the attempt.
+        :param sink: takes the rest.
+        :param position: where the rest begins.
+        :returns: whether the rest is there; if not, nothing changes.
+        """
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or not attempt.resume(sink, position):
+            return False
+        self._kept.pop(attempt_id, None)
+        return True
+
+    def acknowledge(self, attempt_id: str, sink: AttemptSink, size_bytes: int) -> None:
+        """Note that the ingress has passed on more of a response.
+
+        :param attempt_id: the attempt.
+        :param sink: the sink whose stream says so.
+        :param size_bytes: how much more.
+        """
+        attempt = self._attempts.get(attempt_id)
+        if attempt is not None and attempt.sink is sink:
+            attempt.acknowledge(size_bytes)
+
+    def note_sent(self, attempt_id: str, sink: AttemptSink) -> None:
+        """Keep a response for a while whose last frame has left.
+
+        :param attempt_id: the attempt.
+        :param sink: the sink that has sent it.
+        """
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or attempt.sink is not sink or not attempt.is_complete():
+            return
+        now_ms = self._clock()
+        self._kept[attempt_id] = now_ms + self._orphan_ms
+        while self._kept:
+            oldest_id, until_ms = next(iter(self._kept.items()))
+            if until_ms > now_ms and len(self._kept) <= MAX_KEPT_RESPONSES:
+                break
+            self._forget(self._attempts[oldest_id])
+
+    def _kept_changed(self, attempt: OwnedAttempt, change_bytes: int) -> None:
+        self._kept_bytes += change_bytes
+        if change_bytes <= 0:
+            return
+        while self._kept_bytes > MAX_KEPT_RESPONSE_BYTES and self._kept:
+            self._forget(self._attempts[next(iter(self._kept))])
+        if self._kept_bytes > MAX_KEPT_RESPONSE_BYTES:
+            attempt.give_up_replay()
+
     def _abandon(self, attempt: OwnedAttempt) -> None:
         if attempt.sink is None:
             self.cancel(attempt.work.attempt_id)
 
     def _forget(self, attempt: OwnedAttempt) -> None:
         self._attempts.pop(attempt.work.attempt_id, None)
+        self._kept.pop(attempt.work.attempt_id, None)
+        attempt.give_up_replay()
         if attempt.orphan_timer is not None:
             attempt.orphan_timer.cancel()
 
-    def _response_passed(self, attempt: OwnedAttempt) -> None:
-        if not attempt.replayable:
-            self._forget(attempt)
-            return
-        now_ms = self._clock()
-        self._kept.append((now_ms + self._orphan_ms, attempt.kept_bytes, attempt))
-        self._kept_bytes += attempt.kept_bytes
-        while self._kept and (
-            self._kept[0][0] <= now_ms
-            or len(self._kept) > MAX_KEPT_RESPONSES
-            or self._kept_bytes > MAX_KEPT_RESPONSE_BYTES
-        ):
-            _, size_bytes, oldest = self._kept.popleft()
-            self._kept_bytes -= size_bytes
-            self._forget(oldest)
-
     def _sweep(self, now_ms: float) -> None:
         self._sweep_due_ms = now_ms + SWEEP_INTERVAL_MS
         for attempt in list(self._attempts.values()):
@@ -241,9 +285,11 @@
         sink, answer = question
         attempt = self._attempts.get(effect.attempt_id)
         going_on = effect.state in (FenceState.RUNNING, FenceState.FINISHED)
-        if attempt is not None and attempt.replayable and going_on and attempt.sink is not sink:
+        adoptable = attempt is not None and attempt.can_start_again()
+        if attempt is not None and adoptable and going_on and attempt.sink is not sink:
             # The ingress has lost the stream of the old sink.
             responding = attempt.has_response()
+            self._kept.pop(effect.attempt_id, None)
             attempt.adopt(sink)
             if responding:
                 # The response itself is the answer.
--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -19,7 +19,8 @@
     decode_request,
     encode_fence_state,
 )
-from bamboonotch_node.forwarding._outbox import OutgoingBody
+from bamboonotch_node.forwarding._outbox import WINDOW_BYTES, HeadBuilder, OutgoingBody
+from bamboonotch_node.forwarding._owned_attempt import ResumePosition
 from bamboonotch_node.forwarding._owner import OwnerSide
 from bamboonotch_node.forwarding._stream import FrameStream, StreamIdentity
 from bamboonotch_wire import bamboonotch_pb2 as pb
@@ -37,12 +38,20 @@
     :param attempt_id: the attempt.
     :param frames: the stream.
     :param ended: called when the last frame has left.
+    :param acknowledged: called with the size of what the other end has passed on, in bytes.
     """
 
-    def __init__(self, attempt_id: str, frames: FrameStream, ended: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        attempt_id: str,
+        frames: FrameStream,
+        ended: Callable[[str], None],
+        acknowledged: Callable[[_StreamSink, int], None],
+    ) -> None:
         self._attempt_id = attempt_id
         self._frames = frames
         self._ended = ended
+        self._acknowledged = acknowledged
         self._body: OutgoingBody | None = None
         self._source: FlowControl | None = None
 
@@ -52,6 +61,8 @@
         :param source: the source.
         """
         self._source = source
+        if self._body is not None:
+            self._body.source = source
 
     def start(self, head: ResponseStart) -> None:
         """Send the head of the response, together with the first bytes of the body.
@@ -62,10 +73,24 @@
         def build_head(data: bytes, last: bool) -> pb.ForwardFrame:
             return build_response_head(self._attempt_id, head, data, last)
 
+        self._frames.outbox.enqueue(self._make_body(build_head))
+
+    def start_after_head(self, window_bytes: int) -> None:
+        """Continue a response whose head and first bytes have left on another stream.
+
+        :param window_bytes: body bytes that may leave before any credit.
+        """
+
+        def build_head(data: bytes, last: bool) -> pb.ForwardFrame:
+            raise AssertionError("the head has left on another stream")
+
+        self._make_body(build_head).skip_head(window_bytes)
+
+    def _make_body(self, build_head: HeadBuilder) -> OutgoingBody:
         self._body = OutgoingBody(self._attempt_id, self._frames.outbox, build_head)
         self._body.source = self._source
         self._body.on_sent = lambda: self._ended(self._attempt_id)
-        self._frames.outbox.enqueue(self._body)
+        return self._body
 
     def write(self, data: bytes) -> None:
         """Send a piece of the body.
@@ -104,6 +129,7 @@
         """
         if self._body is not None:
             self._body.add_credit(size_bytes)
+            self._acknowledged(self, size_bytes)
 
     def is_responding(self) -> bool:
         """Tell whether a response has begun to leave."""
@@ -168,6 +194,8 @@
             self._cancel(frame.cancel.attempt_id)
         elif kind == "fence":
             self._fence(frame.fence)
+        elif kind == "resume":
+            self._resume(frame.resume)
 
     def closed(self) -> None:
         """Note that the stream was lost."""
@@ -261,12 +289,17 @@
         self._server.owner.offer(work, self._new_sink(head.attempt_id), replayable=True)
 
     def _new_sink(self, attempt_id: str) -> _StreamSink:
-        sink = _StreamSink(attempt_id, self.frames, self._release)
+        def acknowledged(sink: _StreamSink, size_bytes: int) -> None:
+            self._server.owner.acknowledge(attempt_id, sink, size_bytes)
+
+        sink = _StreamSink(attempt_id, self.frames, self._release, acknowledged)
         self._sinks[attempt_id] = sink
         return sink
 
     def _release(self, attempt_id: str) -> None:
-        self._sinks.pop(attempt_id, None)
+        sink = self._sinks.pop(attempt_id, None)
+        if sink is not None:
+            self._server.owner.note_sent(attempt_id, sink)
 
     def _cancel(self, attempt_id: str) -> None:
         if len(attempt_id) > MAX_ID_CHARACTERS:
@@ -295,6 +328,27 @@
 
         self._server.owner.fence(attempt_id, fence_id, sink, answer)
 
+    def _resume(self, resume: pb.Resume) -> None:
+        attempt_id = resume.attempt_id
+        if not 0 < len(attempt_id) <= MAX_ID_CHARACTERS:
+            raise MessageError("attempt_id of a resumption is empty or too long")
+        if resume.window_bytes > WINDOW_BYTES:
+            raise MessageError("window_bytes of a resumption exceeds the window of an attempt")
+        resumed = attempt_id not in self._sinks
+        if resumed:
+            sink = self._new_sink(attempt_id)
+            sink.start_after_head(resume.window_bytes)
+            position = ResumePosition(
+                number=resume.number,
+                received_bytes=resume.received_bytes,
+                unacknowledged_bytes=WINDOW_BYTES - resume.window_bytes,
+            )
+            resumed = self._server.owner.resume(attempt_id, sink, position)
+            if not resumed:
+                self._release(attempt_id)
+        reply = pb.ResumeReply(attempt_id=attempt_id, number=resume.number, resumed=resumed)
+        self.frames.send(pb.ForwardFrame(resume_reply=reply))
+
 
 class ForwardingServer:
     """Takes forward streams from ingress nodes.
--- a/packages/node/src/bamboonotch_node/forwarding/_sink.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_sink.py
@@ -18,6 +18,9 @@
         :param source: the source.
         """
 
+    def discard(self) -> None:
+        """Take nothing more; another sink takes the rest, or nobody does."""
+
     def refuse(self, not_run: bool, reason: str, load: int) -> None:
         """End the attempt without a response.
 
--- a/packages/node/tests/forwarding/test_forwarding.py
+++ b/packages/node/tests/forwarding/test_forwarding.py
@@ -169,11 +169,14 @@
                     lambda reader=reader: reader, "127.0.0.1", self.ingress.http_port
                 )
                 await reader.first
+                # Without a new stream the response cannot go on.
+                await self.proxy.refuse()
                 self.proxy.cut()
                 finished = await self.ingress.wait_for(events.ResponseFinished, number + 1)
                 self.assertFalse(finished.complete)
                 reader.transport.resume_reading()
                 self.assertIsInstance(await reader.lost, ConnectionError)
+                self.proxy.accept()
 
         self.run_async(main)
 
