Break a response off when its deadline passes, rather than leave its caller waiting

What callers saw: nothing, until they gave up. When the deadline of a request (the shorter of the caller's time and the route's timeout) passed while its response was on its way, the attempt was cancelled at the owner and dropped at the ingress, but the caller's connection stayed open with an incomplete body and no end. With a timeout of the route below the caller's own, the caller waited for the difference. The ingress also kept the request in its table until the caller left.

Cause: dropping an attempt forgot the receiver that passes the response on, without telling it. Now the receiver is told that the response ends incomplete, so the connection is broken off as for every other incomplete response. A caller that is gone is still not written to.

--- a/packages/node/src/bamboonotch_node/forwarding/_incoming.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_incoming.py
@@ -174,12 +174,14 @@
         self._flush()
 
     def discard(self) -> None:
-        """Drop the response; the receiver is not called again."""
+        """Drop the response, and break it off if it is being passed on."""
         self.ended = True
-        self._receiver = None
+        receiver, self._receiver = self._receiver, None
         self._held.clear()
         if self.request_body is not None:
             self.request_body.discard()
+        if receiver is not None:
+            receiver.finish(False)
 
     def _flush(self) -> None:
         held, self._held, self._held_bytes = self._held, [], 0
--- a/packages/node/tests/forwarding/test_resumption.py
+++ b/packages/node/tests/forwarding/test_resumption.py
@@ -75,12 +75,16 @@
         self._node = node
         self.body = b""
 
-    async def ask(self) -> None:
+    async def ask(self, headers: str = "") -> None:
         """Send the request."""
         self._reader, self._writer = await asyncio.open_connection(
             "127.0.0.1", self._node.http_port, limit=len(BODY) * 2
         )
-        self._writer.write(b"GET /plans HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.send(f"GET /plans HTTP/1.1\r\nHost: a\r\n{headers}\r\n".encode())
+
+    def send(self, data: bytes) -> None:
+        """Send bytes."""
+        self._writer.write(data)
 
     async def read_head(self) -> bytes:
         """Read the head of the response."""
