Test what must not cut a response that is on its way

Read and tested with the cut download in mind; none of these ends a response before its end:

- the idle timeout and the header timeout of the caller's connection, also shortened by a newer version, and with half a request sent behind the one that is being answered;
- the owner's timer for a request (the exchange with the backend server): it ends with the exchange, so an answer that is ready at the owner leaves also after the deadline.
- a version that shortens the timeout of a route: the deadline of a request is that of its arrival.

--- a/packages/core/tests/outcomes/test_reducer.py
+++ b/packages/core/tests/outcomes/test_reducer.py
@@ -38,7 +38,13 @@
 from bamboonotch_core.routing import NOT_SERVING_TABLE
 from bamboonotch_core.settings import RequestSettings
 from tests.outcomes.mesh import UNIX_MS, make_key
-from tests.routing.builders import make_record, make_settings, make_table
+from tests.routing.builders import (
+    ROUTES,
+    make_configuration,
+    make_record,
+    make_settings,
+    make_table,
+)
 
 NOT_RUN = BackendResult.NOT_RUN
 UNKNOWN = BackendResult.UNKNOWN
@@ -296,6 +302,21 @@
         self.assertIsInstance(cancel, CancelAttempt)
         self.assertFalse(ingress.state.requests)
 
+    def test_newer_timeout_does_not_stop_a_response(self) -> None:
+        """Guards against a response cut by a version whose route has a shorter timeout."""
+        ingress = Ingress()
+        attempt = ingress.forward()
+        ingress.respond(attempt)
+        routes = {name: {**route, "timeout_ms": 100} for name, route in ROUTES.items()}
+        records = [make_record(f"n{number}", incarnation=5) for number in range(4)]
+        ingress.table = make_table(*records, configuration=make_configuration(routes))
+        self.assertEqual(ingress.forward("r2").deadline_ms, ingress.now_ms + 100)
+        ingress.tick(attempt.deadline_ms - 1)
+        self.assertIn("r", ingress.state.requests)
+        self.assertNotIn("r2", ingress.state.requests)
+        ingress.send(ResponseFinished(ingress.now_ms, "r", True))
+        self.assertFalse(ingress.state.requests)
+
     def test_caller_that_leaves_cancels(self) -> None:
         """Guards against work that continues after its caller closed the connection."""
         ingress = Ingress()
--- a/packages/node/tests/http_ingress/test_response_end.py
+++ b/packages/node/tests/http_ingress/test_response_end.py
@@ -7,10 +7,13 @@
 
 from bamboonotch_core import request_effects as effects
 from bamboonotch_core import request_events as events
+from bamboonotch_core.configuration import CallerLimits
 from tests.forwarding.support import PathNode, PathTest
 from tests.forwarding.test_resumption import BODY, Caller, PacedBackend
 
 FIRST_BYTES = 20_000
+# Fits into what an owner takes of a response before it holds the backend server up.
+READY_BYTES = 90_000
 
 
 class ResponseEndTest(PathTest):
@@ -46,6 +49,14 @@
         await self.caller.read_head()
         await self.caller.read(FIRST_BYTES)
 
+    async def assert_delivered(self) -> None:
+        """Send the rest and check that the caller gets it."""
+        self.backend.send(len(BODY))
+        await self.caller.read(len(BODY) - len(self.caller.body))
+        self.assertEqual(self.caller.body, BODY)
+        finished = await self.ingress.wait_for(events.ResponseFinished)
+        self.assertTrue(finished.complete)
+
     def test_deadline_breaks_off(self) -> None:
         """Guards against a caller that is left waiting when its response is stopped."""
 
@@ -66,3 +77,46 @@
         for remote in (True, False):
             with self.subTest(remote=remote):
                 self.run_async(lambda remote=remote: check(remote))
+
+    def test_idle_timeout_does_not(self) -> None:
+        """Guards against a slow response that is cut as if its connection were idle."""
+
+        async def check(remote: bool) -> None:
+            await self.start(remote, idle_timeout_ms=100)
+            self.ingress.limits = CallerLimits(idle_timeout_ms=50)
+            await asyncio.sleep(0.4)
+            await self.assert_delivered()
+
+        for remote in (True, False):
+            with self.subTest(remote=remote):
+                self.run_async(lambda remote=remote: check(remote))
+
+    def test_next_request_does_not(self) -> None:
+        """Guards against a response that is cut by the timer of a request sent behind it."""
+
+        async def main() -> None:
+            await self.start(True, idle_timeout_ms=100, header_timeout_ms=100)
+            self.caller.send(b"GET /next HTTP/1.1\r\nHo")
+            await asyncio.sleep(0.4)
+            await self.assert_delivered()
+
+        self.run_async(main)
+
+    def test_deadline_of_the_owner_does_not_once_the_response_is_ready(self) -> None:
+        """Guards against an answer that the owner drops because it arrives after the deadline."""
+
+        async def main() -> None:
+            await self.start(True, "Request-Timeout-Ms: 600\r\n", READY_BYTES)
+            self.proxy.freeze()
+            self.backend.send(READY_BYTES - FIRST_BYTES)
+            finished = await self.owner.wait_for(events.BackendFinished)
+            self.assertIs(finished.result, events.BackendResult.DONE)
+            # The silence is noticed after the deadline.
+            await self.caller.read(READY_BYTES - FIRST_BYTES)
+            self.assertEqual(self.caller.body, BODY[:READY_BYTES])
+            ended = await self.ingress.wait_for(events.ResponseFinished)
+            arrived = self.ingress.seen(events.RequestArrived)[0]
+            self.assertTrue(ended.complete)
+            self.assertGreater(ended.now_ms, arrived.now_ms + 600)
+
+        self.run_async(main)
