Pace the bodies between nodes to the rate of the VM's link

Cause: a link sends bytes in the order in which they were written. Each forward stream let every response fill a window of 64 KB at once, and the first 16 KB of it with the head. The six VMs of the service plans have links of 4.55 Mbit/s and downloads of 90 KB, so a response of a few hundred bytes, a refusal, a pong or a readiness check waited behind the windows of all downloads. Class of fault: a shared resource without a scheduler, in whose FIFO small work waits behind large work.

Readiness checks fail on these six only, also in the users' record. Processor time is idle (0.08 of a core). forward-stream-closed with reason silent, up to 15 a second, names owners of this service.

Ruled out: the link between the regions (9 Mbit/s of 30 at most), the store, processor time, queues at the owners (their slots are busy with work that waits for nested calls).

--- a/packages/core/src/bamboonotch_core/settings.py
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -55,6 +55,7 @@
     :param ready_address: ``ip:port`` for readiness checks, where the installation has them.
     :param announcement_address: ``ip:port`` for announcements of the backend server, where they do
         not come to the admin address.
+    :param link_mbps: rate of the VM's link, in megabits per second; 0 when it is not known.
     """
 
     node_id: str
@@ -69,6 +70,7 @@
     service: str = ""
     ready_address: str = ""
     announcement_address: str = ""
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bamboonotch_node/forwarding/__init__.py
+++ b/packages/node/src/bamboonotch_node/forwarding/__init__.py
@@ -6,6 +6,7 @@
 from bamboonotch_node.forwarding._owner import OwnerSide
 from bamboonotch_node.forwarding._server import ForwardingServer
 from bamboonotch_node.forwarding._sink import AttemptSink
+from bamboonotch_node.forwarding._uplink import Uplink
 
 __all__ = [
     "AttemptSink",
@@ -14,5 +15,6 @@
     "ForwardingServer",
     "IncomingAttempt",
     "OwnerSide",
+    "Uplink",
     "merge_handlers",
 ]
--- a/packages/node/src/bamboonotch_node/forwarding/_client.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_client.py
@@ -24,6 +24,7 @@
 from bamboonotch_node.forwarding._owner import OwnerSide
 from bamboonotch_node.forwarding._pool import OwnerStream, StreamPool
 from bamboonotch_node.forwarding._stream import StreamIdentity
+from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
 __all__ = ["ForwardingClient"]
@@ -57,6 +58,7 @@
     :param find_request: returns the caller's request with an id, or ``None`` when it is over.
     :param owner: the owner's side of this node.
     :param report: takes reports of faults.
+    :param uplink: paces the bodies of all streams.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         find_request: Callable[[str], CallerRequest | None],
         owner: OwnerSide,
         report: Callable[[Report], None],
+        uplink: Uplink,
     ) -> None:
         self._node_id = settings.identity.node_id
         self._fence_timeout_s = settings.requests.fence_timeout_ms / 1000
@@ -87,7 +90,7 @@
             silent_ms=settings.requests.stream_silent_ms,
             pings=True,
         )
-        self._pool = StreamPool(identity, self._frame_received, self._stream_lost)
+        self._pool = StreamPool(identity, self._frame_received, self._stream_lost, uplink)
 
     def find_attempt(self, attempt_id: str) -> IncomingAttempt | None:
         """Return an attempt that has not been released.
--- a/packages/node/src/bamboonotch_node/forwarding/_outbox.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_outbox.py
@@ -1,7 +1,7 @@
 """Order of the frames that leave on one stream.
 
-Small control frames go first, then heads, then body chunks in turn over the attempts that have
-data and credit. So a large body delays another attempt by at most one chunk of each active body.
+Small control frames go first, then heads, then body chunks that the uplink has granted. So a large
+body does not delay what is small, on this stream or on another one.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 
 from bamboonotch_core.errors import MessageError
 from bamboonotch_node.backend import FlowControl
+from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
 __all__ = ["CHUNK_BYTES", "WINDOW_BYTES", "Outbox", "OutgoingBody"]
@@ -40,6 +41,8 @@
         self.source: FlowControl | None = None
         self.on_sent: Callable[[], None] | None = None
         self.queued = False
+        self.number = outbox.uplink.next_number()
+        self._granted_bytes = 0
         self._outbox = outbox
         self._build_head = build_head
         self._pieces: deque[bytes] = deque()
@@ -104,23 +107,46 @@
             return self._credit_bytes > 0
         return self._ended
 
+    def needs_grant(self) -> bool:
+        """Tell whether the next frame has to wait for the uplink."""
+        return self.head_sent and bool(self._pieces) and not self._aborted
+
+    def waiting_bytes(self) -> int:
+        """Return the size of what waits here, in bytes."""
+        return self._size_bytes
+
+    def grant(self) -> int:
+        """Let one chunk leave and return its size in bytes; 0 when nothing can leave any more."""
+        if self._closed or not self._outbox.enqueue_granted(self):
+            return 0
+        self._granted_bytes = min(CHUNK_BYTES, self._credit_bytes, self._size_bytes)
+        return self._granted_bytes
+
     def next_frame(self) -> pb.ForwardFrame:
         """Make the next frame; only when ready."""
         if self._aborted and self.head_sent:
             chunk = pb.BodyChunk(attempt_id=self.attempt_id, last=True, aborted=True)
             self._close()
             return pb.ForwardFrame(body_chunk=chunk)
-        data = self._take(min(CHUNK_BYTES, self._credit_bytes))
+        limit_bytes = self._granted_bytes if self.head_sent else self._head_limit_bytes()
+        data = self._take(min(limit_bytes, self._credit_bytes))
+        self._granted_bytes = 0
         last = self._ended and not self._pieces and not self._aborted
         if last:
             self._close()
         if not self.head_sent:
             self.head_sent = True
+            self._outbox.uplink.note_sent(len(data))
             return self._build_head(data, last)
         return pb.ForwardFrame(
             body_chunk=pb.BodyChunk(attempt_id=self.attempt_id, data=data, last=last)
         )
 
+    def _head_limit_bytes(self) -> int:
+        """Return how much of the body may leave with the head, without a grant."""
+        is_small = self._ended and self._size_bytes <= CHUNK_BYTES
+        return CHUNK_BYTES if is_small or not self._outbox.uplink.is_paced else 0
+
     def _close(self) -> None:
         self._closed = True
         if self.on_sent is not None:
@@ -151,20 +177,28 @@
 
     Nothing leaves before :meth:`open`, so that a head is never sent to a peer that has not named
     itself.
+
+    :param uplink: grants the chunks of bodies.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, uplink: Uplink) -> None:
+        self.uplink = uplink
         self._control: deque[pb.ForwardFrame] = deque()
         self._heads: deque[OutgoingBody] = deque()
         self._bodies: deque[OutgoingBody] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._is_open = False
+        self._is_closed = False
 
     def open(self) -> None:
         """Let frames leave."""
         self._is_open = True
         self._wake()
 
+    def close(self) -> None:
+        """Take no more grants, because the stream has ended."""
+        self._is_closed = True
+
     def push(self, frame: pb.ForwardFrame) -> None:
         """Append a control frame.
 
@@ -184,9 +218,24 @@
         if body.queued or not body.is_ready():
             return
         body.queued = True
+        if body.needs_grant():
+            self.uplink.request(body)
+            return
         (self._bodies if body.head_sent else self._heads).append(body)
         self._wake()
 
+    def enqueue_granted(self, body: OutgoingBody) -> bool:
+        """Queue a message for which the uplink has granted a chunk.
+
+        :param body: the message.
+        :returns: whether the stream still carries frames.
+        """
+        if self._is_closed:
+            return False
+        self._bodies.append(body)
+        self._wake()
+        return True
+
     def next_frame(self) -> pb.ForwardFrame | None:
         """Take the next frame, or ``None`` when none is ready."""
         if not self._is_open:
--- a/packages/node/src/bamboonotch_node/forwarding/_pool.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_pool.py
@@ -12,6 +12,7 @@
 from bamboonotch_node.channels import CHANNEL_OPTIONS
 from bamboonotch_node.forwarding._incoming import IncomingAttempt
 from bamboonotch_node.forwarding._stream import FrameStream, PeerName, StreamIdentity
+from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 from bamboonotch_wire import bamboonotch_pb2_grpc as pb_grpc
 
@@ -29,6 +30,7 @@
     :param address: ``ip:port`` of its peer port.
     :param identity: this end.
     :param received: takes each frame.
+    :param uplink: paces the bodies of all streams.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         address: str,
         identity: StreamIdentity,
         received: Callable[[OwnerStream, pb.ForwardFrame], None],
+        uplink: Uplink,
     ) -> None:
         self.owner_id = owner_id
         self.address = address
@@ -47,7 +50,7 @@
         self._channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
         self._call: Any = pb_grpc.NodeStub(self._channel).Forward()
         self.frames = FrameStream(
-            identity, self._call.read, self._call.write, lambda: bool(self.attempts)
+            identity, self._call.read, self._call.write, lambda: bool(self.attempts), uplink
         )
 
     async def run(self) -> str:
@@ -100,6 +103,7 @@
     :param identity: this end.
     :param received: takes each frame.
     :param lost: called when a stream has ended, with the reason.
+    :param uplink: paces the bodies of all streams.
     """
 
     def __init__(
@@ -107,7 +111,9 @@
         identity: StreamIdentity,
         received: Callable[[OwnerStream, pb.ForwardFrame], None],
         lost: Callable[[OwnerStream, str], None],
+        uplink: Uplink,
     ) -> None:
+        self._uplink = uplink
         self._identity = identity
         self._received = received
         self._lost = lost
@@ -137,7 +143,7 @@
             self._drop(stream, "address-changed")
         if self._is_closed or (len(self._streams) >= MAX_STREAMS and not self._evict_idle()):
             return None
-        stream = OwnerStream(owner_id, address, self._identity, self._received)
+        stream = OwnerStream(owner_id, address, self._identity, self._received, self._uplink)
         self._streams[owner_id] = stream
         task = asyncio.get_running_loop().create_task(self._run(stream))
         self._tasks.add(task)
--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -22,6 +22,7 @@
 from bamboonotch_node.forwarding._outbox import OutgoingBody
 from bamboonotch_node.forwarding._owner import OwnerSide
 from bamboonotch_node.forwarding._stream import FrameStream, StreamIdentity
+from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
 __all__ = ["ForwardingServer"]
@@ -142,7 +143,7 @@
         write: Callable[[Any], Awaitable[Any]],
     ) -> None:
         self._server = server
-        self.frames = FrameStream(server.identity, read, write, self._in_use)
+        self.frames = FrameStream(server.identity, read, write, self._in_use, server.uplink)
         self._sinks: dict[str, _StreamSink] = {}
         self._partial: dict[str, _PartialRequest] = {}
 
@@ -306,6 +307,7 @@
     :param report: takes reports of faults.
     :param request_settings: returns the settings in force for requests.
     :param unread_ms: returns for how long a frame that is read now may have waited.
+    :param uplink: paces the bodies of all streams.
     """
 
     def __init__(
@@ -317,7 +319,9 @@
         report: Callable[[Report], None],
         request_settings: Callable[[], RequestSettings],
         unread_ms: Callable[[], float],
+        uplink: Uplink,
     ) -> None:
+        self.uplink = uplink
         self.request_settings = request_settings
         self.unread_ms = unread_ms
         self.owner = owner
--- a/packages/node/src/bamboonotch_node/forwarding/_stream.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_stream.py
@@ -12,6 +12,7 @@
 
 from bamboonotch_core.errors import MessageError
 from bamboonotch_node.forwarding._outbox import Outbox
+from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
 __all__ = ["FrameStream", "PeerName", "StreamIdentity"]
@@ -61,6 +62,7 @@
     :param read: reads one frame, or ``grpc.aio.EOF``.
     :param write: writes one frame.
     :param in_use: whether work is in progress on the stream.
+    :param uplink: paces the bodies of all streams.
     """
 
     def __init__(
@@ -69,8 +71,9 @@
         read: Callable[[], Awaitable[Any]],
         write: Callable[[Any], Awaitable[Any]],
         in_use: Callable[[], bool],
+        uplink: Uplink,
     ) -> None:
-        self.outbox = Outbox()
+        self.outbox = Outbox(uplink)
         self.peer: PeerName | None = None
         self._identity = identity
         self._read = read
@@ -134,6 +137,7 @@
         try:
             return await self.wait_closed()
         finally:
+            self.outbox.close()
             if self._check is not None:
                 self._check.cancel()
             for task in tasks:
--- a/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -16,6 +16,7 @@
     ForwardingClient,
     ForwardingServer,
     OwnerSide,
+    Uplink,
 )
 from bamboonotch_node.http_ingress._ingress import HttpIngress
 
@@ -42,6 +43,7 @@
     :param request_settings: returns the settings in force for requests; those of the node if not
         given.
     :param unread_ms: returns for how long input that is read now may have waited, in milliseconds.
+    :param uplink_waited: takes the time that a chunk waited for the link, in milliseconds.
     """
 
     def __init__(
@@ -57,14 +59,16 @@
         dialect: HttpDialect = OWN_DIALECT,
         request_settings: Callable[[], RequestSettings] | None = None,
         unread_ms: Callable[[], float] = lambda: 0.0,
+        uplink_waited: Callable[[float], None] = lambda waited_ms: None,
     ) -> None:
         requests = settings.requests
         in_force = request_settings or (lambda: requests)
         orphan_ms = requests.stream_silent_ms + SILENCE_CHECK_MS + requests.fence_timeout_ms
         self.backend = BackendClient(reactor, clock, load, report, dialect)
         self.owner = OwnerSide(self.backend, dispatch, clock, orphan_ms)
+        self.uplink = Uplink(settings.identity.link_mbps, uplink_waited)
         self.server = ForwardingServer(
-            settings, incarnation, self.owner, clock, report, in_force, unread_ms
+            settings, incarnation, self.owner, clock, report, in_force, unread_ms, self.uplink
         )
         self.ingress = HttpIngress(
             settings,
@@ -86,6 +90,7 @@
             self.ingress.find_request,
             self.owner,
             report,
+            self.uplink,
         )
         self.ingress.forwarding = self.client
         self.handlers: EffectHandlers = {
@@ -108,4 +113,5 @@
         await self.ingress.close()
         self.server.close()
         await self.client.close()
+        self.uplink.close()
         self.backend.close()
--- a/packages/node/src/bamboonotch_node/metrics.py
+++ b/packages/node/src/bamboonotch_node/metrics.py
@@ -55,6 +55,7 @@
         self._added = self._latency("added_latency_ms", "Time added to a call at the ingress")
         self._backend = self._latency("backend_latency_ms", "Time in the backend server")
         self._queue = self._latency("queue_ms", "Time in the owner's queue")
+        self._uplink = self._latency("uplink_wait_ms", "Time that a part of a body waits to leave")
 
     def _register(self, metric: Counter | Gauge | Histogram) -> Counter | Gauge | Histogram:
         self._registry.register(metric)
@@ -123,6 +124,13 @@
         """
         self._convergence.observe({}, duration_ms)
 
+    def observe_uplink_wait(self, waited_ms: float) -> None:
+        """Record the time that a chunk of a body waited until the link had room for it.
+
+        :param waited_ms: the time, in milliseconds.
+        """
+        self._uplink.observe({}, waited_ms)
+
     def observe_request(
         self,
         tenant: str,
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -95,6 +95,7 @@
             surroundings.dialect,
             self._find_request_settings,
             self._pauses.unread_ms,
+            self._metrics.observe_uplink_wait,
         )
         self._observer = RequestObserver(
             self._metrics,
--- a/packages/node/src/bamboonotch_node/settings/_reference.py
+++ b/packages/node/src/bamboonotch_node/settings/_reference.py
@@ -28,11 +28,17 @@
     "requests": RequestSettings,
 }
 
-_UNITS = {"_ms": "milliseconds", "_bytes": "bytes", "_characters": "characters"}
+_UNITS = {
+    "_ms": "milliseconds",
+    "_bytes": "bytes",
+    "_characters": "characters",
+    "_mbps": "megabits per second",
+}
 _DEFAULT_RANGE = {
     "_ms": (1, 86_400_000),
     "_bytes": (1024, 1024 * 1024 * 1024),
     "_characters": (1, 4096),
+    "_mbps": (0, 1_000_000),
     "": (1, 1_000_000),
 }
 _RANGES: dict[str, tuple[float, float]] = {
--- a/packages/node/tests/forwarding/test_outbox.py
+++ b/packages/node/tests/forwarding/test_outbox.py
@@ -7,6 +7,7 @@
 from bamboonotch_core.errors import MessageError
 from bamboonotch_node.forwarding import _outbox
 from bamboonotch_node.forwarding._outbox import CHUNK_BYTES, WINDOW_BYTES, Outbox, OutgoingBody
+from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
 
@@ -30,7 +31,7 @@
 
     def setUp(self) -> None:
         """Open an outbox."""
-        self.outbox = Outbox()
+        self.outbox = Outbox(Uplink())
         self.outbox.open()
 
     def make(self, name: str) -> OutgoingBody:
@@ -109,7 +110,7 @@
 
     def test_nothing_leaves_before_the_peer_names_itself(self) -> None:
         """Guards against work for a process whose incarnation is not known (P5)."""
-        self.outbox = Outbox()
+        self.outbox = Outbox(Uplink())
         body = self.add("a", 1)
         self.assertIsNone(self.outbox.next_frame())
         self.assertFalse(body.head_sent)
--- a/packages/node/tests/forwarding/test_streams_at_rest.py
+++ b/packages/node/tests/forwarding/test_streams_at_rest.py
@@ -17,6 +17,7 @@
     FrameStream,
     StreamIdentity,
 )
+from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
 SILENT_MS = 1500
@@ -61,7 +62,9 @@
         self.work = False
         self._incoming: asyncio.Queue[pb.ForwardFrame] = asyncio.Queue()
         identity = StreamIdentity("node", 1, SILENT_MS, pings)
-        self.frames = FrameStream(identity, self._incoming.get, self._write, lambda: self.work)
+        self.frames = FrameStream(
+            identity, self._incoming.get, self._write, lambda: self.work, Uplink()
+        )
         self.receive(pb.ForwardFrame(hello=pb.ForwardHello(node_id="peer", incarnation=2)))
         self.run = asyncio.ensure_future(self.frames.run(lambda peer: None, lambda frame: None))
 
