Refuse downloads that the owner's link cannot send in time, and choose owners by their links

Callers saw: downloads that ended seconds after they had been run, or not at all, while other owners of the service had room.

Cause: the choice of an owner and its admission count slots only. An owner with three slots of 96 ms runs 30 downloads a second; its link of 4.55 Mbit/s sends six. What it runs beyond that waits before the link.

An owner now learns how long a response of each class occupies its link, counts the attempts that it holds, and refuses an arrival as not run (cannot-send-in-time) when its response could not leave within the target of the class. An arrival that finds the link free is always taken. A response's head says how long the bodies that wait occupy the link; ingress nodes add that to the cost of the owner for long responses, and for nothing else, because small ones pass.

Ruled out: to report the backlog as load. That would keep short calls away from owners where they do not wait, and crowd them on others.

--- a/packages/core/src/bamboonotch_core/admission/_offers.py
+++ b/packages/core/src/bamboonotch_core/admission/_offers.py
@@ -15,6 +15,7 @@
 from bamboonotch_core.admission._memory import may_have_been_forgotten
 from bamboonotch_core.admission._queue import ClassQueue, newest_id, push
 from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
+from bamboonotch_core.admission._uplink import can_send_in_time
 from bamboonotch_core.configuration import Configuration, RequestClass
 from bamboonotch_core.outcomes import RefusalReason, parse_attempt_id
 from bamboonotch_core.replace import replace_fields
@@ -71,6 +72,8 @@
         return RefusalReason.BACKEND_REFUSING
     if event.now_ms >= event.deadline_ms:
         return RefusalReason.DEADLINE
+    if not can_send_in_time(state, event, configuration.classes[event.request_class]):
+        return RefusalReason.UPLINK_FULL
     return ""
 
 
@@ -129,6 +132,7 @@
         expires_ms=_expiry_ms(state, event, request_class),
         claim_key="" if event.idempotent else event.idempotency_key,
         stage=Stage.QUEUED,
+        uses_uplink=event.uplink_ms is not None,
     )
     allowed = allowed_slots(state, configuration, event.now_ms)
     free = state.slots_held < allowed and not state.queued and not state.claimed
--- a/packages/core/src/bamboonotch_core/admission/_results.py
+++ b/packages/core/src/bamboonotch_core/admission/_results.py
@@ -7,6 +7,7 @@
 from bamboonotch_core.admission._ending import refuse, remove_live_attempt
 from bamboonotch_core.admission._limit import ConcurrencyLimit, record_answer, record_refusal
 from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
+from bamboonotch_core.admission._uplink import record_send_time
 from bamboonotch_core.configuration import Configuration
 from bamboonotch_core.effects import Effect, Report
 from bamboonotch_core.outcomes import RefusalReason
@@ -110,6 +111,7 @@
     fence_state = FenceState.NOT_RUN if not_run else FenceState.FINISHED
     state = remove_live_attempt(state, attempt, fence_state, event.now_ms)
     state = replace_fields(state, limit=limit)
+    state = record_send_time(state, attempt, event)
     state = _record_backend_result(state, event)
     refusals: tuple[Effect, ...] = ()
     if event.result is not BackendResult.DONE:
--- a/packages/core/src/bamboonotch_core/admission/_state.py
+++ b/packages/core/src/bamboonotch_core/admission/_state.py
@@ -81,6 +81,7 @@
     :param held_at_start: slots held when it was dispatched, including its own.
     :param holds_slot: whether a slot is taken or reserved for it.
     :param aborted: whether the backend server was told to stop working on it.
+    :param uses_uplink: whether its response leaves over this node's link.
     """
 
     attempt_id: str
@@ -96,6 +97,7 @@
     held_at_start: int = 0
     holds_slot: bool = False
     aborted: bool = False
+    uses_uplink: bool = False
 
     @property
     def queue_key(self) -> QueueKey:
@@ -129,6 +131,8 @@
     :param queues: queues that are not empty, by key.
     :param claimed: ids of claimed attempts that wait for a slot, oldest claim first.
     :param limit: adaptive concurrency limit.
+    :param send_times_ms: smoothed time that a response of a class occupies this node's link, by
+        class name; only classes whose responses are paced.
     :param memory: attempts that ended or were fenced, as far as they are still remembered.
     """
 
@@ -151,6 +155,7 @@
     queues: Map[QueueKey, ClassQueue] = field(default_factory=Map)
     claimed: tuple[str, ...] = ()
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
+    send_times_ms: Map[str, float] = field(default_factory=Map)
     memory: AttemptMemory = field(default_factory=AttemptMemory)
 
 
--- /dev/null
+++ b/packages/core/src/bamboonotch_core/admission/_uplink.py
@@ -0,0 +1,51 @@
+"""Responses that share the link of this node: how long an arrival's response would wait."""
+
+from __future__ import annotations
+
+from bamboonotch_core.admission._state import AdmissionState, LiveAttempt
+from bamboonotch_core.configuration import RequestClass
+from bamboonotch_core.replace import replace_fields
+from bamboonotch_core.request_events import BackendFinished, BackendResult, WorkOffered
+
+__all__ = ["can_send_in_time", "record_send_time"]
+
+SEND_TIME_SMOOTHING = 0.05
+
+
+def record_send_time(
+    state: AdmissionState, attempt: LiveAttempt, event: BackendFinished
+) -> AdmissionState:
+    """Return the state after a response whose size is known.
+
+    :param attempt: the attempt that ended.
+    """
+    if event.result is not BackendResult.DONE:
+        return state
+    known_ms = state.send_times_ms.get(attempt.request_class)
+    if known_ms is None:
+        if not event.send_ms:
+            return state
+        known_ms = event.send_ms
+    smoothed_ms = known_ms + SEND_TIME_SMOOTHING * (event.send_ms - known_ms)
+    send_times_ms = state.send_times_ms.set(attempt.request_class, smoothed_ms)
+    return replace_fields(state, send_times_ms=send_times_ms)
+
+
+def can_send_in_time(
+    state: AdmissionState, event: WorkOffered, request_class: RequestClass
+) -> bool:
+    """Return whether the response of an arrival could leave within the target of its class.
+
+    Bodies leave in the order in which they came to wait, so an arrival waits for the bodies that
+    wait now and for those of the attempts before it.
+    """
+    own_ms = state.send_times_ms.get(event.request_class, 0.0)
+    if event.uplink_ms is None or not own_ms or not request_class.target_ms:
+        return True
+    ahead_ms = event.uplink_ms + sum(
+        state.send_times_ms.get(attempt.request_class, 0.0)
+        for attempt in state.live.values()
+        if attempt.uses_uplink
+    )
+    # An arrival that finds the link free is taken, however long its response is.
+    return not ahead_ms or ahead_ms + own_ms <= request_class.target_ms
--- a/packages/core/src/bamboonotch_core/outcomes/_reasons.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reasons.py
@@ -25,6 +25,7 @@
     QUEUE_FULL = "queue-full"
     QUEUE_TIMEOUT = "queue-timeout"
     TOO_LATE = "cannot-start-in-time"
+    UPLINK_FULL = "cannot-send-in-time"
     UNKNOWN_CLASS = "unknown-class"
     WRONG_SERVICE = "wrong-service"
 
@@ -35,9 +36,10 @@
         RefusalReason.QUEUE_FULL,
         RefusalReason.QUEUE_TIMEOUT,
         RefusalReason.TOO_LATE,
+        RefusalReason.UPLINK_FULL,
     }
 )
-"""Reasons of refusals that occur when there is more work than slots."""
+"""Reasons of refusals that occur when there is more work than slots, or than the link carries."""
 
 BUSY_REASONS = OVERLOAD_REASONS | {
     RefusalReason.BACKEND_NOT_RUN,
--- a/packages/core/src/bamboonotch_core/outcomes/_reducer.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reducer.py
@@ -50,6 +50,7 @@
     record_no_room,
     record_refusal,
     record_service_time,
+    record_uplink,
     record_work,
 )
 from bamboonotch_core.transition import Transition
@@ -209,7 +210,12 @@
 
 
 def _views_after_reply(
-    state: OutcomeState, request: PendingRequest, load: int, reason: str, now_ms: float
+    state: OutcomeState,
+    request: PendingRequest,
+    load: int,
+    reason: str,
+    now_ms: float,
+    uplink_ms: float | None = None,
 ) -> Map[str, OwnerView]:
     """Return the views of owners with the load and the refusal that the current owner reported."""
     owner = request.attempt.owner if request.attempt else None
@@ -217,6 +223,8 @@
     if owner is None or view is None or view.incarnation != owner.incarnation:
         return state.views
     view = record_load(view, load, now_ms)
+    if uplink_ms is not None:
+        view = record_uplink(view, uplink_ms, now_ms)
     if reason in BUSY_REASONS:
         view = record_refusal(view, AVOID_BUSY_MS, now_ms)
         # A backend server that refuses one request may accept the next one.
@@ -254,7 +262,7 @@
     state = replace_fields(
         state,
         requests=state.requests.set(request.request_id, responding),
-        views=_views_after_reply(state, request, event.load, "", event.now_ms),
+        views=_views_after_reply(state, request, event.load, "", event.now_ms, event.uplink_ms),
         retry_tokens=(
             state.retry_tokens
             if request.arrived_attempt
--- a/packages/core/src/bamboonotch_core/request_events.py
+++ b/packages/core/src/bamboonotch_core/request_events.py
@@ -107,11 +107,13 @@
     :param status: HTTP status of the backend server.
     :param load: work in slots and queue at the owner.
     :param service_ms: time that the backend server took until the head, in milliseconds.
+    :param uplink_ms: how long the bodies that wait at the owner occupy its link, in milliseconds.
     """
 
     status: int
     load: int
     service_ms: float = 0.0
+    uplink_ms: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -184,6 +186,8 @@
     :param idempotent: whether the work may run more than once.
     :param idempotency_key: the caller's key, or empty.
     :param returning: whether the caller seems to have been refused before.
+    :param uplink_ms: how long the bodies that wait now occupy this node's link, in milliseconds;
+        ``None`` when the response does not leave over the link.
     """
 
     request_id: str
@@ -194,6 +198,7 @@
     idempotent: bool
     idempotency_key: str
     returning: bool = False
+    uplink_ms: float | None = None
 
 
 @dataclass(frozen=True)
@@ -215,11 +220,14 @@
     :param attempt_id: the attempt.
     :param result: how it ended.
     :param latency_ms: time since dispatch, in milliseconds.
+    :param send_ms: how long the body of the response occupies this node's link, in milliseconds; 0
+        when it is small enough to leave at once.
     """
 
     attempt_id: str
     result: BackendResult
     latency_ms: float
+    send_ms: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/routing/__init__.py
+++ b/packages/core/src/bamboonotch_core/routing/__init__.py
@@ -27,6 +27,7 @@
     record_no_room,
     record_refusal,
     record_service_time,
+    record_uplink,
     view_of,
 )
 from bamboonotch_core.routing._random import draw_below, next_seed
@@ -76,6 +77,7 @@
     "record_forward",
     "record_work",
     "record_load",
+    "record_uplink",
     "record_no_room",
     "record_refusal",
     "record_service_time",
--- a/packages/core/src/bamboonotch_core/routing/_costs.py
+++ b/packages/core/src/bamboonotch_core/routing/_costs.py
@@ -11,7 +11,12 @@
 from dataclasses import dataclass
 
 from bamboonotch_core.routing._candidates import Distance
-from bamboonotch_core.routing._owner_view import OwnerView, decayed_load, decayed_service_time_ratio
+from bamboonotch_core.routing._owner_view import (
+    OwnerView,
+    decayed_load,
+    decayed_service_time_ratio,
+    remaining_uplink_ms,
+)
 from bamboonotch_core.routing._table import Owner
 
 __all__ = ["UNKNOWN_WORK", "WorkEstimate", "expected_cost_ms", "record_work"]
@@ -27,6 +32,8 @@
 FAILURE_RETENTION_MS = 1000.0
 WORK_SMOOTHING_FACTOR = 0.05
 KILOBYTE = 1024.0
+# Responses up to this size leave at once and do not wait for the bodies before them.
+SMALL_RESPONSE_KB = 16.0
 
 
 @dataclass(frozen=True)
@@ -83,6 +90,8 @@
         + UTILISATION_COST_MS * (reported + view.in_flight) / slots
     )
     cost_ms += DISTANCE_COST_MS[distance] + DISTANCE_COST_MS_PER_KB[distance] * work.response_kb
+    if work.response_kb > SMALL_RESPONSE_KB:
+        cost_ms += remaining_uplink_ms(view, now_ms)
     if view.failures and now_ms - view.last_failure_ms < FAILURE_RETENTION_MS:
         cost_ms += view.failures * work.service_ms
     if owner.suspect or now_ms < view.avoid_until_ms:
--- a/packages/core/src/bamboonotch_core/routing/_owner_view.py
+++ b/packages/core/src/bamboonotch_core/routing/_owner_view.py
@@ -24,6 +24,8 @@
     "record_no_room",
     "record_refusal",
     "record_service_time",
+    "record_uplink",
+    "remaining_uplink_ms",
     "view_of",
 ]
 
@@ -58,6 +60,8 @@
     :param in_flight: attempts that this node sent to the owner and that have not ended.
     :param load: requests in slots and in the queue, as the owner last reported.
     :param load_reported_ms: time of that report.
+    :param uplink_free_ms: when the bodies that waited at the owner at its last response will have
+        left its link.
     :param failures: consecutive failed attempts.
     :param last_failure_ms: time of the last of them.
     :param ejections: consecutive ejections; each doubles the length of the next.
@@ -76,6 +80,7 @@
     in_flight: int = 0
     load: int = 0
     load_reported_ms: float = 0.0
+    uplink_free_ms: float = 0.0
     failures: int = 0
     last_failure_ms: float = 0.0
     ejections: int = 0
@@ -178,6 +183,25 @@
     return replace_fields(view, load=load, load_reported_ms=now_ms)
 
 
+def record_uplink(view: OwnerView, uplink_ms: float, now_ms: float) -> OwnerView:
+    """Record how long the owner's link is occupied by bodies that wait there.
+
+    :param uplink_ms: that time from now on, in milliseconds.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    if not uplink_ms and view.uplink_free_ms <= now_ms:
+        return view
+    return replace_fields(view, uplink_free_ms=now_ms + uplink_ms)
+
+
+def remaining_uplink_ms(view: OwnerView, now_ms: float) -> float:
+    """Return how long the owner's link is still occupied by bodies, in milliseconds.
+
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    return max(0.0, view.uplink_free_ms - now_ms)
+
+
 def record_refusal(view: OwnerView, avoid_ms: float, now_ms: float) -> OwnerView:
     """Record that the owner refused a request, so that other owners are preferred for a while.
 
--- a/packages/node/src/bamboonotch_node/backend/_work.py
+++ b/packages/node/src/bamboonotch_node/backend/_work.py
@@ -76,6 +76,7 @@
     :param load: number of attempts in slots and queue at the owner.
     :param backend_ms: time from dispatch to the head, in milliseconds.
     :param queue_ms: time from offer to dispatch, in milliseconds.
+    :param uplink_ms: how long the bodies that wait at the owner occupy its link, in milliseconds.
     """
 
     status: int
@@ -83,6 +84,7 @@
     load: int
     backend_ms: float
     queue_ms: float
+    uplink_ms: float = 0.0
 
 
 class FlowControl(Protocol):
--- a/packages/node/src/bamboonotch_node/forwarding/_frames.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_frames.py
@@ -32,6 +32,7 @@
 MAX_ID_CHARACTERS = 256
 MAX_REASON_CHARACTERS = 128
 MAX_REMAINING_MS = 3_600_000.0
+MAX_UPLINK_MS = 60_000.0
 # The ingress adds a few headers to those that it bounds.
 HEADER_ALLOWANCE_BYTES = 1024
 # ASCII in names and Latin-1 in values, without the characters that end a field.
@@ -153,12 +154,13 @@
 
 
 def build_response_head(
-    attempt_id: str, start: ResponseStart, body: bytes, last: bool
+    attempt_id: str, start: ResponseStart, uplink_ms: float, body: bytes, last: bool
 ) -> pb.ForwardFrame:
     """Return the first frame of a response.
 
     :param attempt_id: the attempt.
     :param start: head of the response.
+    :param uplink_ms: how long the bodies that wait occupy this node's link, in milliseconds.
     :param body: first bytes of the body.
     :param last: whether they are the whole body.
     """
@@ -172,6 +174,7 @@
             last=last,
             backend_ms=start.backend_ms,
             queue_ms=start.queue_ms,
+            uplink_ms=uplink_ms,
         )
     )
 
@@ -190,4 +193,10 @@
         load=head.load,
         backend_ms=head.backend_ms,
         queue_ms=head.queue_ms,
+        uplink_ms=_clip_uplink_ms(head.uplink_ms),
     )
+
+
+def _clip_uplink_ms(uplink_ms: float) -> float:
+    """Return a time from a peer within bounds; one that is no number counts as 0."""
+    return min(MAX_UPLINK_MS, uplink_ms) if uplink_ms > 0 else 0.0
--- a/packages/node/src/bamboonotch_node/forwarding/_incoming.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_incoming.py
@@ -78,6 +78,7 @@
                 status=head.status,
                 load=head.load,
                 service_ms=head.backend_ms,
+                uplink_ms=head.uplink_ms,
             )
         )
 
--- a/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
@@ -41,6 +41,7 @@
         self.replayable = replayable
         self.exchange: BackendExchange | None = None
         self.orphan_timer: asyncio.TimerHandle | None = None
+        self.size_bytes = 0
         self._finished = finished
         self._head: ResponseStart | None = None
         self._kept: list[bytes] = []
@@ -74,6 +75,7 @@
 
         :param data: the piece.
         """
+        self.size_bytes += len(data)
         self._keep(data)
         if self.sink is not None:
             self.sink.write(data)
--- a/packages/node/src/bamboonotch_node/forwarding/_owner.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_owner.py
@@ -23,8 +23,10 @@
 )
 from bamboonotch_node.backend import BackendClient, OfferedWork
 from bamboonotch_node.forwarding._handlers import EffectHandlers
+from bamboonotch_node.forwarding._outbox import CHUNK_BYTES
 from bamboonotch_node.forwarding._owned_attempt import OwnedAttempt
 from bamboonotch_node.forwarding._sink import AttemptSink
+from bamboonotch_node.forwarding._uplink import Uplink
 
 __all__ = ["OwnerSide"]
 
@@ -48,6 +50,7 @@
     :param clock: monotonic clock in milliseconds.
     :param orphan_ms: how long an attempt whose stream was lost waits for a fence before it is
         cancelled, in milliseconds.
+    :param uplink: paces the bodies that leave this node.
     """
 
     def __init__(
@@ -56,7 +59,9 @@
         dispatch: Callable[[Event], None],
         clock: Callable[[], float],
         orphan_ms: float,
+        uplink: Uplink,
     ) -> None:
+        self._uplink = uplink
         self._backend = backend
         self._dispatch = dispatch
         self._clock = clock
@@ -82,12 +87,20 @@
         """
         return attempt_id in self._attempts
 
-    def offer(self, work: OfferedWork, sink: AttemptSink, replayable: bool) -> None:
+    def offer(
+        self,
+        work: OfferedWork,
+        sink: AttemptSink,
+        replayable: bool,
+        uplink_ms: float | None = None,
+    ) -> None:
         """Offer an attempt; only once for each attempt id.
 
         :param work: the attempt.
         :param sink: takes the answer.
         :param replayable: whether a fence can bring another sink.
+        :param uplink_ms: how long the bodies that wait now occupy the link, in milliseconds;
+            ``None`` when the response does not leave over the link.
         """
         now_ms = self._clock()
         if now_ms >= self._sweep_due_ms:
@@ -106,6 +119,7 @@
                 idempotent=work.idempotent,
                 idempotency_key=work.idempotency_key,
                 returning=work.returning,
+                uplink_ms=uplink_ms,
             )
         )
 
@@ -208,7 +222,9 @@
             exchange = self._backend.prepare(
                 attempt.work,
                 attempt,
-                lambda result, latency_ms: self._finished(effect.attempt_id, result, latency_ms),
+                lambda result, latency_ms: self._finished(
+                    effect.attempt_id, result, latency_ms, attempt.size_bytes
+                ),
                 queue_ms=self._clock() - attempt.offered_ms,
             )
         if attempt is None or exchange is None:
@@ -250,9 +266,15 @@
                 return
         answer(effect.state)
 
-    def _finished(self, attempt_id: str, result: BackendResult, latency_ms: float) -> None:
+    def _finished(
+        self, attempt_id: str, result: BackendResult, latency_ms: float, size_bytes: int = 0
+    ) -> None:
         self._dispatch(
             BackendFinished(
-                now_ms=self._clock(), attempt_id=attempt_id, result=result, latency_ms=latency_ms
+                now_ms=self._clock(),
+                attempt_id=attempt_id,
+                result=result,
+                latency_ms=latency_ms,
+                send_ms=self._uplink.send_ms(size_bytes) if size_bytes > CHUNK_BYTES else 0.0,
             )
         )
--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -61,7 +61,8 @@
         """
 
         def build_head(data: bytes, last: bool) -> pb.ForwardFrame:
-            return build_response_head(self._attempt_id, head, data, last)
+            uplink_ms = self._frames.outbox.uplink.backlog_ms()
+            return build_response_head(self._attempt_id, head, uplink_ms, data, last)
 
         self._body = OutgoingBody(self._attempt_id, self._frames.outbox, build_head)
         self._body.source = self._source
@@ -259,7 +260,12 @@
             request=request,
             returning=head.returning,
         )
-        self._server.owner.offer(work, self._new_sink(head.attempt_id), replayable=True)
+        self._server.owner.offer(
+            work,
+            self._new_sink(head.attempt_id),
+            replayable=True,
+            uplink_ms=self._server.uplink.backlog_ms(),
+        )
 
     def _new_sink(self, attempt_id: str) -> _StreamSink:
         sink = _StreamSink(attempt_id, self.frames, self._release)
--- a/packages/node/src/bamboonotch_node/forwarding/_uplink.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_uplink.py
@@ -106,6 +106,13 @@
         waiting_bytes = sum(body.waiting_bytes() for _, _, body in self._waiting)
         return max(0.0, (waiting_bytes - self._credit_bytes) / self._bytes_per_s * 1000)
 
+    def send_ms(self, size_bytes: int) -> float:
+        """Return how long a body occupies the link, in milliseconds.
+
+        :param size_bytes: its size.
+        """
+        return size_bytes / self._bytes_per_s * 1000 if self.is_paced else 0.0
+
     def close(self) -> None:
         """Cancel the timer; bodies that wait are not granted anything."""
         if self._timer is not None:
--- a/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -65,8 +65,8 @@
         in_force = request_settings or (lambda: requests)
         orphan_ms = requests.stream_silent_ms + SILENCE_CHECK_MS + requests.fence_timeout_ms
         self.backend = BackendClient(reactor, clock, load, report, dialect)
-        self.owner = OwnerSide(self.backend, dispatch, clock, orphan_ms)
         self.uplink = Uplink(settings.identity.link_mbps, uplink_waited)
+        self.owner = OwnerSide(self.backend, dispatch, clock, orphan_ms, self.uplink)
         self.server = ForwardingServer(
             settings, incarnation, self.owner, clock, report, in_force, unread_ms, self.uplink
         )
