Let long responses stay on the VM of their caller where they can

Callers saw: downloads that waited for the link of another VM although their own VM runs the service.

Cause: the node itself was one candidate among those of its data centre, at no lower cost, and with more owners than a subset holds it could be missing from the subset. A response of the node's own backend server occupies no link at all.

Every kilobyte that leaves a VM now has a cost (1 ms as between data centres, on top of what distance adds), so that 90 KB stay on the VM unless its backend server would let them wait for longer; 0.5 KB go anywhere.

Tests: SameVmTest in tests/routing/test_uplink.py: among 20 other owners the own one was not in the subset (12 of 21) before.

--- a/packages/core/src/bamboonotch_core/routing/_candidates.py
+++ b/packages/core/src/bamboonotch_core/routing/_candidates.py
@@ -24,6 +24,7 @@
 class Distance:
     """Distance classes of an owner, seen from this node, nearest first."""
 
+    SAME_VM = -1
     DATA_CENTRE = 0
     REGION = 1
     FAR = 2
@@ -48,6 +49,8 @@
 
     :param settings: this node's settings.
     """
+    if owner.node_id == settings.identity.node_id:
+        return Distance.SAME_VM
     if owner.region != settings.identity.region:
         return Distance.FAR
     if owner.data_centre != settings.identity.data_centre:
@@ -84,13 +87,15 @@
     :param source: all owners of the service.
     """
     owners_by_distance: tuple[list[Owner], list[Owner], list[Owner]] = ([], [], [])
+    own: list[Owner] = []
     for owner in source.owners:
-        owners_by_distance[distance_of(settings, owner)].append(owner)
+        distance = distance_of(settings, owner)
+        (own if distance == Distance.SAME_VM else owners_by_distance[distance]).append(owner)
     sizes = (len(owners_by_distance[0]), len(owners_by_distance[1]), len(owners_by_distance[2]))
-    max_owners = settings.requests.owners_per_service
+    max_owners = settings.requests.owners_per_service - len(own)
     node_id = settings.identity.node_id
-    owners: list[Owner] = []
-    distances: list[int] = []
+    owners = own
+    distances = [Distance.SAME_VM] * len(own)
     for distance, quota in enumerate(_quotas(sizes, max_owners)):
         selected = sorted(
             owners_by_distance[distance], key=lambda owner: _rendezvous_key(node_id, owner)
--- a/packages/core/src/bamboonotch_core/routing/_choice.py
+++ b/packages/core/src/bamboonotch_core/routing/_choice.py
@@ -108,7 +108,7 @@
         return _PreferenceGroup.NEAR_OVERLOADED
     if utilisation >= BUSY_UTILISATION:
         return _PreferenceGroup.NEAR_BUSY
-    return _PreferenceGroup.NEAR if distance == Distance.DATA_CENTRE else _PreferenceGroup.REGION
+    return _PreferenceGroup.NEAR if distance <= Distance.DATA_CENTRE else _PreferenceGroup.REGION
 
 
 def _readmitted(candidates: CandidateSet, views: Mapping[str, OwnerView]) -> frozenset[str]:
--- a/packages/core/src/bamboonotch_core/routing/_costs.py
+++ b/packages/core/src/bamboonotch_core/routing/_costs.py
@@ -22,9 +22,20 @@
 __all__ = ["UNKNOWN_WORK", "WorkEstimate", "expected_cost_ms", "record_work"]
 
 # Cost of a distance for every request: latency and the fixed part of the price of the link.
-DISTANCE_COST_MS = {Distance.DATA_CENTRE: 0.0, Distance.REGION: 10.0, Distance.FAR: 60.0}
-# Cost of a distance for each kilobyte of the response.
-DISTANCE_COST_MS_PER_KB = {Distance.DATA_CENTRE: 0.0, Distance.REGION: 1.0, Distance.FAR: 6.0}
+DISTANCE_COST_MS = {
+    Distance.SAME_VM: 0.0,
+    Distance.DATA_CENTRE: 0.0,
+    Distance.REGION: 10.0,
+    Distance.FAR: 60.0,
+}
+# Cost of a distance for each kilobyte of the response. A response that stays on its VM occupies no
+# link at all.
+DISTANCE_COST_MS_PER_KB = {
+    Distance.SAME_VM: 0.0,
+    Distance.DATA_CENTRE: 1.0,
+    Distance.REGION: 2.0,
+    Distance.FAR: 7.0,
+}
 UTILISATION_COST_MS = 10.0  # decides between owners that both have free slots
 # Added after a refusal and for a suspect owner; about the cost of a failed attempt.
 AVOIDED_COST_MS = 200.0
@@ -90,7 +101,7 @@
         + UTILISATION_COST_MS * (reported + view.in_flight) / slots
     )
     cost_ms += DISTANCE_COST_MS[distance] + DISTANCE_COST_MS_PER_KB[distance] * work.response_kb
-    if work.response_kb > SMALL_RESPONSE_KB:
+    if work.response_kb > SMALL_RESPONSE_KB and distance != Distance.SAME_VM:
         cost_ms += remaining_uplink_ms(view, now_ms)
     if view.failures and now_ms - view.last_failure_ms < FAILURE_RETENTION_MS:
         cost_ms += view.failures * work.service_ms
--- a/packages/core/src/bamboonotch_core/routing/_explain.py
+++ b/packages/core/src/bamboonotch_core/routing/_explain.py
@@ -7,7 +7,12 @@
 
 from immutables import Map
 
-from bamboonotch_core.routing._candidates import CandidateSet, distance_of, select_candidates
+from bamboonotch_core.routing._candidates import (
+    CandidateSet,
+    Distance,
+    distance_of,
+    select_candidates,
+)
 from bamboonotch_core.routing._choice import Eligibility, OwnerRating, rate_candidates
 from bamboonotch_core.routing._index import matching_prefixes, path_of
 from bamboonotch_core.routing._owner_view import OwnerView
@@ -22,7 +27,12 @@
 
 __all__ = ["ConsideredRoute", "ExplainedOwner", "RouteExplanation", "explain_route"]
 
-DISTANCE_NAMES = ("same-data-centre", "same-region", "other-region")
+DISTANCE_NAMES = {
+    Distance.SAME_VM: "same-vm",
+    Distance.DATA_CENTRE: "same-data-centre",
+    Distance.REGION: "same-region",
+    Distance.FAR: "other-region",
+}
 GROUP_NAMES = ("near", "region", "near-busy", "far", "near-overloaded", "far-overloaded")
 OUTSIDE_SUBSET = "outside-subset"
 NO_SLOTS = "no-slots"
@@ -45,8 +55,8 @@
 class ExplainedOwner:
     """An owner of the service, used or left out.
 
-    :param distance: ``same-data-centre``, ``same-region`` or ``other-region``; empty for a member
-        that is not a usable owner.
+    :param distance: ``same-vm``, ``same-data-centre``, ``same-region`` or ``other-region``; empty
+        for a member that is not a usable owner.
     :param group: its group by distance and utilisation, or empty when it is left out.
     :param reason: why it is left out, or empty.
     :param cost: expected cost that the choice compares, in milliseconds; 0 outside the subset.
--- a/packages/core/tests/routing/test_uplink.py
+++ b/packages/core/tests/routing/test_uplink.py
@@ -21,6 +21,33 @@
 CHECK = WorkEstimate(service_ms=30.0, response_kb=0.5)
 
 
+class SameVmTest(unittest.TestCase):
+    """A node whose own backend server is one of several owners."""
+
+    def setUp(self) -> None:
+        """Choose among the node itself and 20 other owners of its data centre."""
+        records = [make_record(f"owner-{number}") for number in range(20)] + [make_record("self")]
+        source = make_table(*records).services["orders"]
+        self.candidates = select_candidates(make_settings("self"), source)
+
+    def choose(self, work: WorkEstimate, view: OwnerView) -> str:
+        """Return the owner chosen for one kind of work."""
+        choice = choose_owner(
+            self.candidates, Map({"self": view}), RequestSettings(), 5000.0, 7, work=work
+        )
+        return choice.owner.node_id if choice.owner else ""
+
+    def test_download_stays_on_its_vm(self) -> None:
+        """Guards against downloads over full links that the caller's own VM could have served."""
+        self.assertEqual(len(self.candidates.owners), RequestSettings().owners_per_service)
+        self.assertEqual(self.choose(DOWNLOAD, OwnerView("self", 1)), "self")
+
+    def test_busy_vm_is_left(self) -> None:
+        """Guards against downloads that wait for the own backend server while others are idle."""
+        busy = OwnerView("self", 1, in_flight=40)
+        self.assertNotEqual(self.choose(DOWNLOAD, busy), "self")
+
+
 class OccupiedLinkTest(unittest.TestCase):
     """Two owners of one data centre; the first has bodies for a second before its link."""
 
