Let the members with the fastest links read the store

Callers saw: in the region away from the store, orders that ended with the 500 of their backend server from second 0 on, because a nested call came too late; readiness checks that failed on the same VMs.

Cause: the three readers of a region are its members of lowest hash, whatever their links carry. A whole document of the platform is about 250 KB, 0.44 s of a link of 4.55 Mbit/s; in a burst, with a read every 0.7 s, most of it. What is sent to that VM meanwhile waits, and two of the three plans servers of the region stand beside such readers.

In the log of the first three seconds, calls to pkr-a-15 sent from 0.5 s on are all refused or answered after 1.24 s, when that node has read version 7.

A member's record now carries the rate of its link; the three unsuspected members with the fastest links read, those of lowest hash among equal ones. Members whose records lack the rate count as slow.

Ruled out: the link between the regions (below 10 Mbit/s of 30), slower backend servers (arrivals at the plans servers of both regions differ by 6 %).

Tests: FastLinkTest in test_store_readers.py (fails without the order by links), the tests of lost readers as before.

--- a/packages/core/src/bamboonotch_core/member_record.py
+++ b/packages/core/src/bamboonotch_core/member_record.py
@@ -35,6 +35,7 @@
     :param slots: slots of the backend server.
     :param state: state of the backend server as its node sees it, or of the node as others see it.
     :param relay_slot: relay slot that the node holds, or -1.
+    :param link_mbps: rate of the VM's link, in megabits per second; 0 when it is not known.
     """
 
     node_id: str
@@ -49,6 +50,7 @@
     slots: int
     state: MemberState
     relay_slot: int
+    link_mbps: float = 0.0
 
 
 def state_rank(state: MemberState) -> int:
--- a/packages/core/src/bamboonotch_core/membership/_state.py
+++ b/packages/core/src/bamboonotch_core/membership/_state.py
@@ -392,6 +392,7 @@
         slots=0,
         state=MemberState.JOINING,
         relay_slot=-1,
+        link_mbps=identity.link_mbps,
     )
     directory = put_record(EMPTY_DIRECTORY, record)
     fraction, seed = next_fraction(seed)
--- a/packages/core/src/bamboonotch_core/membership/_views.py
+++ b/packages/core/src/bamboonotch_core/membership/_views.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
-from itertools import islice
 
 from immutables import Map
 
@@ -34,8 +34,8 @@
     "routing_generation",
 ]
 
-# When the region has no live slot holder, this many members of lowest hash read the store. Two may
-# be lost at the same moment, together with others, right before a new version.
+# When the region has no live slot holder, this many members read the store. Two may be lost at the
+# same moment, together with others, right before a new version.
 FALLBACK_READERS = 3
 
 
@@ -166,8 +166,8 @@
 def is_store_reader(state: MembershipState) -> bool:
     """Return whether this node watches the store for new versions.
 
-    These are the relay-slot holders in the store's region or, without any, its members of lowest
-    hash that nobody suspects.
+    These are the relay-slot holders in the store's region or, without any, some members that nobody
+    suspects.
     """
     own = state.own.record
     if own.region != state.settings.store.region:
@@ -176,7 +176,7 @@
         return True
     if state.directory.regions[own.region].slot_holders:
         return False
-    return own.node_id in islice(_unsuspected_ring_members(state), FALLBACK_READERS)
+    return own.node_id in _fallback_readers(state)
 
 
 def misses_store_reader(state: MembershipState) -> bool:
@@ -189,8 +189,21 @@
         return False
     if state.directory.regions[own.region].slot_holders:
         return False
-    readers = islice(_unsuspected_ring_members(state), FALLBACK_READERS)
-    return any(_is_missing_neighbour(state, node_id) for node_id in readers)
+    return any(_is_missing_neighbour(state, node_id) for node_id in _fallback_readers(state))
+
+
+def _fallback_readers(state: MembershipState) -> list[str]:
+    """Return the members with the fastest links, those of lowest hash among equal ones.
+
+    A whole document takes the link of a small VM for longer than a short call may last, and a burst
+    of versions takes all of it.
+    """
+    records = state.directory.records
+    return heapq.nsmallest(
+        FALLBACK_READERS,
+        _unsuspected_ring_members(state),
+        key=lambda node_id: -records[node_id].link_mbps,
+    )
 
 
 def _unsuspected_ring_members(state: MembershipState) -> Iterator[str]:
--- a/packages/core/tests/membership/fleet.py
+++ b/packages/core/tests/membership/fleet.py
@@ -150,13 +150,17 @@
         """Start a node's process, or restart it with a higher incarnation."""
         old = self.processes.get(node_id)
         generation = 1 if old is None else old.generation + 1
-        settings = make_settings(node_id, *self.places[node_id])
+        settings = self.make_settings(node_id)
         state = make_membership_state(
             settings, 1000 * generation, self.random.getrandbits(64), self.now_ms
         )
         self.processes[node_id] = _Process(state, generation=generation)
         self._post(self.random.uniform(1.0, TICK_MS), node_id, events.Tick)
 
+    def make_settings(self, node_id: str) -> NodeSettings:
+        """Return the settings that a node starts with."""
+        return make_settings(node_id, *self.places[node_id])
+
     def start_all(self) -> None:
         """Start every node."""
         for node_id in self.places:
--- a/packages/core/tests/membership/test_store_readers.py
+++ b/packages/core/tests/membership/test_store_readers.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from bamboonotch_core.documents._reading import READER_MISSED_MS
 from bamboonotch_core.membership import is_store_reader, misses_store_reader
+from bamboonotch_core.settings import NodeSettings
 from tests.membership.fleet import Fleet, make_places
 
 SPREADING_MS = 700.0
@@ -23,6 +25,46 @@
         self._slots[node_id, 0] = node_id
 
 
+class FastLinkFleet(SlotlessFleet):
+    """A fleet in which few VMs have fast links."""
+
+    FAST = ("east-1-3", "east-1-9", "east-2-4", "east-2-7")
+
+    def make_settings(self, node_id: str) -> NodeSettings:
+        """Return the settings of a node with its link."""
+        settings = super().make_settings(node_id)
+        link_mbps = 70.0 if node_id in self.FAST else 4.55
+        return replace(settings, identity=replace(settings.identity, link_mbps=link_mbps))
+
+
+class FastLinkTest(unittest.TestCase):
+    """Readers of one region in which four of 20 VMs have fast links."""
+
+    def setUp(self) -> None:
+        """Start the fleet and wait until it is at rest."""
+        places = make_places({"east-1": ("east", 10), "east-2": ("east", 10)})
+        self.fleet = FastLinkFleet(places)
+        self.fleet.start_all()
+        self.fleet.run(20_000)
+
+    def readers(self) -> set[str]:
+        """Return the nodes that read the store."""
+        alive = self.fleet.alive()
+        return {name for name in alive if is_store_reader(self.fleet.state(name))}
+
+    def test_fast_links_carry_documents(self) -> None:
+        """Guards against calls that fail because whole documents take the link of a small VM."""
+        self.assertEqual(len(self.readers()), 3)
+        self.assertLess(self.readers(), set(FastLinkFleet.FAST))
+
+    def test_slow_links_when_no_fast_one_is_left(self) -> None:
+        """Guards against a region whose versions stop when its fast VMs are lost."""
+        for name in FastLinkFleet.FAST:
+            self.fleet.kill(name)
+        self.fleet.run(20_000)
+        self.assertEqual(len(self.readers()), 3)
+
+
 class ReadersTest(unittest.TestCase):
     """Readers of one region with 40 nodes."""
 
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -33,6 +33,7 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_TEXT_CHARACTERS = 128
 MAX_WITNESSES = 64
+MAX_LINK_MBPS = 1_000_000.0
 
 _STATE_TO_WIRE: dict[MemberState, Any] = {
     state: pb.MemberState.Value(f"MEMBER_STATE_{state.name}") for state in MemberState
@@ -128,6 +129,7 @@
         slots=record.slots,
         state=_STATE_TO_WIRE[record.state],
         relay_slot=record.relay_slot,
+        link_mbps=record.link_mbps,
     )
 
 
@@ -239,6 +241,12 @@
     return SnapshotChunk(body.version, body.digest, body.index, body.count, body.data)
 
 
+def _check_link_mbps(value: float) -> float:
+    if not 0 <= value <= MAX_LINK_MBPS:
+        raise MessageError(f"link_mbps {value} of a member is out of range")
+    return value
+
+
 def _decode_record(body: Any) -> MemberRecord:
     state = _STATE_FROM_WIRE.get(body.state)
     if state is None:
@@ -256,6 +264,7 @@
         slots=body.slots,
         state=state,
         relay_slot=body.relay_slot,
+        link_mbps=_check_link_mbps(body.link_mbps),
     )
 
 
--- a/packages/wire/tests/test_control.py
+++ b/packages/wire/tests/test_control.py
@@ -45,6 +45,7 @@
         slots=6,
         state=state,
         relay_slot=-1,
+        link_mbps=4.55,
     )
 
 
