--- a/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
@@ -60,6 +60,7 @@
         self.replayable = replayable
         self.exchange: BackendExchange | None = None
         self.orphan_timer: asyncio.TimerHandle | None = None
+        self.size_bytes = 0
         self._finished = finished
         self._note_kept = kept
         self._head: ResponseStart | None = None
@@ -97,6 +98,7 @@
 
         :param data: the piece.
         """
+        self.size_bytes += len(data)
         if not self.replayable:
             if self.sink is not None:
                 self.sink.write(data)
--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -23,6 +23,7 @@
 from bamboonotch_node.forwarding._owned_attempt import ResumePosition
 from bamboonotch_node.forwarding._owner import OwnerSide
 from bamboonotch_node.forwarding._stream import FrameStream, StreamIdentity
+from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
 __all__ = ["ForwardingServer"]
@@ -71,7 +72,8 @@
         """
 
         def build_head(data: bytes, last: bool) -> pb.ForwardFrame:
-            return build_response_head(self._attempt_id, head, data, last)
+            uplink_ms = self._frames.outbox.uplink.backlog_ms()
+            return build_response_head(self._attempt_id, head, uplink_ms, data, last)
 
         self._frames.outbox.enqueue(self._make_body(build_head))
 
@@ -168,7 +170,7 @@
         write: Callable[[Any], Awaitable[Any]],
     ) -> None:
         self._server = server
-        self.frames = FrameStream(server.identity, read, write, self._in_use)
+        self.frames = FrameStream(server.identity, read, write, self._in_use, server.uplink)
         self._sinks: dict[str, _StreamSink] = {}
         self._partial: dict[str, _PartialRequest] = {}
 
@@ -286,7 +288,12 @@
             request=request,
             returning=head.returning,
         )
-        self._server.owner.offer(work, self._new_sink(head.attempt_id), replayable=True)
+        self._server.owner.offer(
+            work,
+            self._new_sink(head.attempt_id),
+            replayable=True,
+            uplink_ms=self._server.uplink.backlog_ms(),
+        )
 
     def _new_sink(self, attempt_id: str) -> _StreamSink:
         def acknowledged(sink: _StreamSink, size_bytes: int) -> None:
@@ -360,6 +367,7 @@
     :param report: takes reports of faults.
     :param request_settings: returns the settings in force for requests.
     :param unread_ms: returns for how long a frame that is read now may have waited.
+    :param uplink: paces the bodies of all streams.
     """
 
     def __init__(
@@ -371,7 +379,9 @@
         report: Callable[[Report], None],
         request_settings: Callable[[], RequestSettings],
         unread_ms: Callable[[], float],
+        uplink: Uplink,
     ) -> None:
+        self.uplink = uplink
         self.request_settings = request_settings
         self.unread_ms = unread_ms
         self.owner = owner
