Count no discarded body as waiting for the link

A body that is discarded, because its caller left or its stream was lost, stays in the order of bodies until its turn, and was counted there with its size. An owner whose callers leave would refuse downloads for a link that is free.

Test: test_backlog_without_discarded_bodies failed before (over 1,000 ms), passes now.

--- a/packages/node/src/bamboonotch_node/forwarding/_outbox.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_outbox.py
@@ -93,6 +93,7 @@
         """Send nothing more of this message, and hold its source up no longer."""
         self._closed = self._ended = True
         self._pieces.clear()
+        self._size_bytes = 0
         if self._source_paused and self.source:
             self._source_paused = False
             self.source.resume()
--- a/packages/node/tests/forwarding/test_uplink.py
+++ b/packages/node/tests/forwarding/test_uplink.py
@@ -66,7 +66,7 @@
         self.ended_s: dict[str, float] = {}
         self.sent_bytes = 0
         self._free_s = 0.0
-        self._bodies: dict[str, OutgoingBody] = {}
+        self.bodies: dict[str, OutgoingBody] = {}
         self._outboxes: list[Outbox] = []
         self.frozen: set[Outbox] = set()
         self._pass_on()
@@ -81,7 +81,7 @@
             head = pb.ResponseHead(attempt_id=name, body=data, last=last)
             return pb.ForwardFrame(response_head=head)
 
-        body = self._bodies[name] = OutgoingBody(name, outbox, build_head)
+        body = self.bodies[name] = OutgoingBody(name, outbox, build_head)
         body.write(b"x" * size_bytes)
         body.finish(True)
         return outbox
@@ -108,7 +108,7 @@
         if last:
             self.ended_s[name] = self.loop.time()
         else:
-            self.loop.call_later(ONE_WAY_S, self._bodies[name].add_credit, size_bytes)
+            self.loop.call_later(ONE_WAY_S, self.bodies[name].add_credit, size_bytes)
 
 
 class FullLinkTest(unittest.TestCase):
@@ -177,6 +177,15 @@
         owner.loop.run_until(4.0)
         self.assertEqual(owner.uplink.backlog_ms(), 0.0)
 
+    def test_backlog_without_discarded_bodies(self) -> None:
+        """Guards against refusals because of downloads whose callers have left."""
+        owner = SimulatedOwner(LINK_MBPS)
+        bodies = [owner.respond(f"download-{number}", DOWNLOAD_BYTES) for number in range(12)]
+        owner.loop.run_until(0.05)
+        for number in range(len(bodies)):
+            owner.bodies[f"download-{number}"].discard()
+        self.assertEqual(owner.uplink.backlog_ms(), 0.0)
+
     def test_unknown_link(self) -> None:
         """Guards against an installation without the setting whose bodies would not leave."""
         owner = SimulatedOwner(0.0)
