Take a kept departure only in a state of leaving

A node recalls what a leaving backend server had said from its own entry in the store. Any text was taken as the state, "ready" too, so a damaged entry made a server that had left usable again after a restart of its node, until the next announcement.

Cause: _parse_departure checked the types of the fields, not the state. Other checks behind it do not help: ready is a valid state of an announcement.

Before: test_departure_in_a_state_of_service_is_ignored failed with the ready server recalled (13 passed, 1 failed in platform test_store.py). After: 14 passed.

--- a/packages/core/src/bamboonotch_core/announcements.py
+++ b/packages/core/src/bamboonotch_core/announcements.py
@@ -8,7 +8,7 @@
 
 from bamboonotch_core.events import BackendServerAnnounced
 
-__all__ = ["is_new_departure", "is_outdated"]
+__all__ = ["LEAVING_STATES", "is_new_departure", "is_outdated"]
 
 STOPPED = "stopped"
 LEAVING_STATES = frozenset({"draining", STOPPED})
--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -14,6 +14,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
+from bamboonotch_core.announcements import LEAVING_STATES
 from bamboonotch_core.effects import Report
 from bamboonotch_core.errors import StoreError
 from bamboonotch_core.events import BackendServerAnnounced, SlotHolder
@@ -82,6 +83,8 @@
     for name, kinds in DEPARTURE_FIELDS.items():
         if type(raw.get(name)) not in kinds:
             return None
+    if raw["state"] not in LEAVING_STATES:
+        return None
     return BackendServerAnnounced(now_ms=0.0, **{name: raw[name] for name in DEPARTURE_FIELDS})
 
 
