Refuse an odd announcement in every part of the node

An announcement with no slots, a port out of range, a service that is no name or a process id that is no header value was reported as refused and yet replaced the present backend server: only membership checked it. Admission took its service, address and slots, so that waiting requests were refused as meant for another service; the node kept its process id, its start time and its sequence number as the latest. A start time of 4,000 digits thus outdated every later announcement, also from a departure kept in a damaged entry, and a process id that cannot be a header made every request fail before it was sent.

Cause: the check stood in one of the parts that the composed reducer hands the event to. It now stands before all of them, covers the process as well as the server, and names no value of unbounded length. A departure that comes before the first announcement may still name only its process.

Ruled out: an exception in the reducer. Such events raised nothing, so the node did not report a fault.

--- a/packages/core/src/bamboonotch_core/membership/__init__.py
+++ b/packages/core/src/bamboonotch_core/membership/__init__.py
@@ -8,6 +8,7 @@
     MembershipState,
     make_membership_state,
 )
+from bamboonotch_core.membership._validation import find_announcement_fault
 from bamboonotch_core.membership._views import (
     LinkKind,
     Neighbour,
@@ -38,6 +39,7 @@
     "MembershipState",
     "Neighbour",
     "backend_server_address",
+    "find_announcement_fault",
     "find_member",
     "finish_shutdown",
     "is_draining",
--- a/packages/core/src/bamboonotch_core/membership/_own.py
+++ b/packages/core/src/bamboonotch_core/membership/_own.py
@@ -25,6 +25,9 @@
     if fault:
         step.report("announcement-refused", reason=fault)
         return
+    if not event.service:
+        # A departure before the first announcement names no server that could be marked stopped.
+        return
     state = ANNOUNCED_STATES[event.state]
     server = BackendServer(event.service, event.address, event.slots, state, event.now_ms)
     step.change_own(backend_server=server)
--- a/packages/core/src/bamboonotch_core/membership/_validation.py
+++ b/packages/core/src/bamboonotch_core/membership/_validation.py
@@ -20,6 +20,7 @@
 
 MAX_SLOTS = 10_000
 MAX_RELAY_SLOT = 1_000
+MAX_COLD_MS = 3_600_000
 # A counter that a faulty peer has raised to this limit can still be raised further.
 MAX_COUNTER = 1 << 62
 ANNOUNCED_STATES = {
@@ -28,17 +29,40 @@
     "stopped": MemberState.STOPPED,
 }
 
+_STOPPED = "stopped"
 _SERVICE = re.compile(r"[a-z0-9-]{1,64}")
 _NAME = re.compile(r"[!-~]{1,128}")
 _ADDRESS = re.compile(r"[!-~]{1,120}:[0-9]{1,5}")
 
 
 def find_announcement_fault(event: BackendServerAnnounced) -> str:
-    """Return what is wrong with an announcement, or an empty string."""
+    """Return what is wrong with an announcement, or an empty string.
+
+    A departure may name only its process, because it can come before the first announcement.
+    """
+    fault = _find_process_fault(event)
+    if fault or (event.state == _STOPPED and not event.service):
+        return fault
+    return _find_server_fault(event)
+
+
+def _find_process_fault(event: BackendServerAnnounced) -> str:
+    if event.instance_id and not _NAME.fullmatch(event.instance_id):
+        return f"process id {event.instance_id!r:.130} must be 1 to 128 printable ASCII characters"
+    if not 0 <= event.started_unix_ms < MAX_COUNTER:
+        return f"start time of process {event.instance_id!r} must be 0 to {MAX_COUNTER - 1} ms"
+    if event.sequence is not None and not 0 <= event.sequence < MAX_COUNTER:
+        return f"sequence of process {event.instance_id!r} must be 0 to {MAX_COUNTER - 1}"
+    if not 0 <= event.cold_ms <= MAX_COLD_MS:
+        return f"cold time of process {event.instance_id!r} must be 0 to {MAX_COLD_MS} ms"
+    return ""
+
+
+def _find_server_fault(event: BackendServerAnnounced) -> str:
     if not _SERVICE.fullmatch(event.service):
         return f"service {event.service!r:.66} must be 1 to 64 characters of a-z, 0-9 and -"
     if not 1 <= event.slots <= MAX_SLOTS:
-        return f"slots must be 1 to {MAX_SLOTS}, not {event.slots}"
+        return f"slots must be 1 to {MAX_SLOTS}"
     if event.state not in ANNOUNCED_STATES:
         return f"state must be ready, draining or stopped, not {event.state!r:.18}"
     if not _is_address(event.address):
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -35,6 +35,7 @@
 )
 from bamboonotch_core.membership import (
     LocalVersions,
+    find_announcement_fault,
     finish_shutdown,
     members_of_service,
     own_record,
@@ -206,6 +207,9 @@
 
 @_reduce_event.register
 def _(event: BackendServerAnnounced, state: NodeState) -> NodeTransition:
+    fault = find_announcement_fault(event)
+    if fault:
+        return Transition(state, (Report("announcement-refused", (("reason", fault),)),))
     if is_outdated(state.announcement, event):
         fields = (
             ("instance_id", event.instance_id),
@@ -224,6 +228,9 @@
 def _(event: DepartureRecalled, state: NodeState) -> NodeTransition:
     """Take over what an earlier process had acknowledged, unless a later server is there."""
     recalled = replace_fields(event.announcement, now_ms=event.now_ms)
+    fault = find_announcement_fault(recalled)
+    if fault:
+        return Transition(state, (Report("departure-refused", (("reason", fault),)),))
     latest = state.announcement
     if latest is not None and latest.instance_id != recalled.instance_id:
         return Transition(state)
--- a/packages/core/tests/test_announcements.py
+++ b/packages/core/tests/test_announcements.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import unittest
+from dataclasses import replace
+from typing import Any
 
-from bamboonotch_core.effects import Effect, KeepDeparture
+from bamboonotch_core.effects import Effect, KeepDeparture, Report
 from bamboonotch_core.events import BackendServerAnnounced, DepartureRecalled, Event
 from bamboonotch_core.reducer import reduce
 from bamboonotch_core.state import make_node_state
@@ -66,6 +69,68 @@
         self.assertEqual(self._hear(_announce("b", "ready", 1, started=0)), "b ready")
 
 
+HUGE_INTEGER = 10**4000
+ODD_ANNOUNCEMENTS: tuple[dict[str, Any], ...] = (
+    {"service": ""},
+    {"service": "zahlung\u00fc"},
+    {"service": "x" * 1_000_000},
+    {"slots": 0},
+    {"slots": -1},
+    {"slots": HUGE_INTEGER},
+    {"address": ":80"},
+    {"address": "10.0.0.1"},
+    {"address": "10.0.0.1:0"},
+    {"address": "10.0.0.1:65536"},
+    {"address": "10.0.0.1:99999999999"},
+    {"address": "10.0.0.1:-1"},
+    {"address": "10.0.0.1:\u0668\u0660"},
+    {"address": "h" * 1_000_000 + ":80"},
+    {"state": "joining"},
+    {"instance_id": "i-\u00fc\u0394"},
+    {"instance_id": "i-1\r\nX-Y: z"},
+    {"instance_id": "i" * 1_000_000},
+    {"started_unix_ms": HUGE_INTEGER},
+    {"started_unix_ms": -1},
+    {"sequence": HUGE_INTEGER},
+    {"sequence": -HUGE_INTEGER},
+    {"cold_ms": math.nan},
+    {"cold_ms": math.inf},
+    {"cold_ms": -1.0},
+)
+
+
+class OddAnnouncementTest(unittest.TestCase):
+    """Announcements of another writer, with values that no backend server has."""
+
+    def setUp(self) -> None:
+        """Start a node whose backend server is ready."""
+        state = make_node_state(make_settings(), 1, 1, 0.0)
+        self.state = reduce(state, _announce("a", "ready", 4)).state
+
+    def test_odd_announcement_changes_nothing(self) -> None:
+        """Guards against an odd announcement that replaces the present backend server."""
+        valid = _announce("b", "ready", 1, started=2000)
+        for change in ODD_ANNOUNCEMENTS:
+            with self.subTest(repr(change)[:60]):
+                transition = reduce(self.state, replace(valid, **change))
+                names = [item.name for item in transition.effects if isinstance(item, Report)]
+                self.assertEqual(names, ["announcement-refused"])
+                self.assertEqual(transition.state, self.state)
+
+    def test_odd_departure_changes_nothing(self) -> None:
+        """Guards against a number without bound that ends the present backend server."""
+        for change in ({"started_unix_ms": HUGE_INTEGER}, {"instance_id": "\u0394"}):
+            with self.subTest(repr(change)[:60]):
+                event = replace(_announce("a", "stopped", None), **change)
+                self.assertEqual(reduce(self.state, event).state, self.state)
+
+    def test_recalled_odd_departure_changes_nothing(self) -> None:
+        """Guards against a damaged entry whose departure no later announcement can replace."""
+        event = replace(_announce("a", "draining", 5), started_unix_ms=HUGE_INTEGER)
+        state = make_node_state(make_settings(), 1, 1, 0.0)
+        self.assertEqual(reduce(state, DepartureRecalled(1.0, event)).state, state)
+
+
 class DepartureRecallTest(unittest.TestCase):
     """What a process that starts takes over from the one before.
 
