--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -35,6 +35,7 @@
     "started_unix_ms": (int,),
     "sequence": (int, type(None)),
 }
+MAX_TEXT_CHARACTERS = 128
 RENEWALS_PER_LEASE = 3
 # Waits after a failed call, doubled with each failure; half of each is random, because a herd
 # would otherwise return to the store at once.
@@ -64,6 +65,8 @@
     data_centre, address = value.get("data_centre"), value.get("peer_address")
     if not isinstance(data_centre, str) or not isinstance(address, str):
         return None
+    if max(len(data_centre), len(address)) > MAX_TEXT_CHARACTERS:
+        return None
     return SlotHolder(data_centre, 0, address)
 
 
