Take the valid records of an update beside an odd one

A member update with one record that is malformed (no id, a state that this version does not know, a field of over 128 characters) was dropped whole, so a node heard of none of the members in it. Peers send the same records again whenever their digests differ, and the next update was dropped as well.

Cause: the update was decoded as one value. The error now carries the update without the odd records; the stream reports the error and passes the rest on. Checks of whole messages stay as they were, and so does MalformedTest.

Ruled out: the end of the stream or of the process (the test's stream went on to its last frame on the old code); a dial of an odd address that is never answered, which would keep it from being repeated (test_dials_of_odd_addresses_are_reported passed on the old code).

--- a/packages/node/src/bamboonotch_node/control/_stream.py
+++ b/packages/node/src/bamboonotch_node/control/_stream.py
@@ -13,7 +13,12 @@
 from bamboonotch_core.messages import Message
 from bamboonotch_core.settings import IdentitySettings
 from bamboonotch_wire import bamboonotch_pb2 as pb
-from bamboonotch_wire.control import decode_message, encode_message, message_kind
+from bamboonotch_wire.control import (
+    PartialMessageError,
+    decode_message,
+    encode_message,
+    message_kind,
+)
 
 __all__ = ["PROTOCOL_VERSION", "ControlStream", "LocalIdentity", "parse_hello"]
 
@@ -139,7 +144,8 @@
         :param read: reads one frame, or the end-of-stream marker.
         :param write: writes one frame.
         :param on_message: takes each message with the link id.
-        :param on_malformed: takes the link id and the fault of a frame that was dropped.
+        :param on_malformed: takes the link id and the fault of a frame of which all or a part was
+            dropped.
         """
         tasks = [
             asyncio.ensure_future(self._read_all(read, on_message, on_malformed)),
@@ -170,6 +176,9 @@
                 return
             try:
                 message = decode_message(frame)
+            except PartialMessageError as error:
+                on_malformed(self.link_id, str(error))
+                message = error.rest
             except MessageError as error:
                 on_malformed(self.link_id, str(error))
                 continue
--- a/packages/node/tests/control/test_links.py
+++ b/packages/node/tests/control/test_links.py
@@ -12,7 +12,7 @@
 import grpc
 
 from bamboonotch_core.events import Event, LinkClosed, LinkFailed, LinkOpened, MessageReceived
-from bamboonotch_core.messages import VersionAnnounce
+from bamboonotch_core.messages import MemberUpdate, Message, VersionAnnounce
 from bamboonotch_core.settings import IdentitySettings
 from bamboonotch_node.control import ControlLinks, LocalIdentity, PeerServer
 from bamboonotch_wire import bamboonotch_pb2 as pb
@@ -114,6 +114,60 @@
             node.links.open(address)
         await until(lambda: len(node.of_type(LinkFailed)) == 2)
 
+    async def test_dials_of_odd_addresses_are_reported(self) -> None:
+        """Guards against an address of another writer whose dial ends without an answer."""
+        node = await self._start(Node("a"))
+        addresses = (
+            "unix:/tmp/none:80",
+            "xds:///none:80",
+            "ipv4:127.0.0.1,127.0.0.2:1",
+            "vsock:1:80",
+            "[::1:80",
+            "%00:80",
+            "a..b:80",
+            "999.999.999.999:80",
+            "127.0.0.1:00000",
+        )
+        for address in addresses:
+            node.links.open(address)
+        await until(lambda: len(node.of_type(LinkFailed)) == len(addresses))
+        self.assertEqual({event.address for event in node.of_type(LinkFailed)}, set(addresses))
+
+    async def test_odd_record_beside_valid_ones(self) -> None:
+        """Guards against one odd record that keeps a node from hearing of the others."""
+        node = await self._start(Node("a"))
+        text = "x" * 200
+        odd = (
+            pb.MemberRecord(),
+            pb.MemberRecord(node_id="odd"),
+            pb.MemberRecord(node_id="odd", state=99),  # type: ignore[arg-type]
+            pb.MemberRecord(node_id=text, state=pb.MEMBER_STATE_READY),
+            pb.MemberRecord(node_id="odd", state=pb.MEMBER_STATE_READY, service=text),
+            pb.MemberRecord(node_id="odd", state=pb.MEMBER_STATE_READY, peer_address=text),
+        )
+        valid = pb.MemberRecord(node_id="c", state=pb.MEMBER_STATE_READY)
+        async with grpc.aio.insecure_channel(node.address) as channel:
+            call = NodeStub(channel).Control()
+            await call.write(
+                LocalIdentity(
+                    IdentitySettings("b", "himal-thali", "r", "d", "1:1", "0:0", "0:0"), 1
+                ).hello()
+            )
+            for record in odd:
+                update = pb.MemberUpdate(records=[valid, record, valid])
+                await call.write(pb.ControlFrame(member_update=update))
+            await call.write(pb.ControlFrame(version_announce=pb.VersionAnnounce(version=9)))
+            await until(lambda: VersionAnnounce(9) in self._messages(node))
+        received = [item for item in self._messages(node) if isinstance(item, MemberUpdate)]
+        self.assertEqual(
+            [[record.node_id for record in item.records] for item in received],
+            [["c", "c"]] * len(odd),
+        )
+        self.assertEqual(len(node.malformed), len(odd))
+
+    def _messages(self, node: Node) -> list[Message]:
+        return [event.message for event in node.of_type(MessageReceived)]
+
     async def test_other_tenant_is_refused(self) -> None:
         """Guards against two customers' fleets that share a network joining each other."""
         first, second = await self._start(Node("a")), await self._start(Node("b", "mkaa-bora"))
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -28,7 +28,13 @@
 )
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
-__all__ = ["MAX_FRAME_BYTES", "decode_message", "encode_message", "message_kind"]
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "PartialMessageError",
+    "decode_message",
+    "encode_message",
+    "message_kind",
+]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_TEXT_CHARACTERS = 128
@@ -40,6 +46,18 @@
 _STATE_FROM_WIRE = {number: state for state, number in _STATE_TO_WIRE.items()}
 
 
+class PartialMessageError(MessageError):
+    """Some of the records of an update are malformed.
+
+    :param fault: what is wrong with the first one.
+    :param rest: the update with the other records.
+    """
+
+    def __init__(self, fault: str, rest: MemberUpdate) -> None:
+        super().__init__(fault)
+        self.rest = rest
+
+
 def message_kind(message: Message) -> str:
     """Return the name of a message's type, for metrics.
 
@@ -260,7 +278,18 @@
 
 
 def _decode_member_update(body: Any) -> Message:
-    return MemberUpdate(tuple(_decode_record(record) for record in body.records))
+    records = []
+    faults = []
+    for record in body.records:
+        try:
+            records.append(_decode_record(record))
+        except MessageError as error:
+            faults.append(str(error))
+    update = MemberUpdate(tuple(records))
+    if faults:
+        fault = f"{len(faults)} of {len(body.records)} member records: {faults[0]}"
+        raise PartialMessageError(fault, update)
+    return update
 
 
 def _decode_member_digests(body: Any) -> Message:
@@ -339,6 +368,7 @@
 
     :param frame: the frame.
     :returns: the message, or ``None`` for a frame of a kind that this version does not know.
+    :raises PartialMessageError: when only some records of an update are malformed.
     :raises MessageError: when a field is malformed or exceeds its limit.
     """
     kind = frame.WhichOneof("body")
