Dial no address that is a target of another scheme

Cause: every printable character was allowed in the host. It is now a name or IPv4 address of letters, digits, dots, hyphens and underscores, or an IPv6 address in brackets.

Ruled out: ports that are 0, out of range, signed, of 5,000 digits or in other digits; these were refused before.

--- a/packages/core/src/bamboonotch_core/membership/_validation.py
+++ b/packages/core/src/bamboonotch_core/membership/_validation.py
@@ -32,7 +32,7 @@
 _STOPPED = "stopped"
 _SERVICE = re.compile(r"[a-z0-9-]{1,64}")
 _NAME = re.compile(r"[!-~]{1,128}")
-_ADDRESS = re.compile(r"[!-~]{1,120}:[0-9]{1,5}")
+_ADDRESS = re.compile(r"(?:[A-Za-z0-9._-]{1,120}|\[[0-9A-Fa-f:.]{2,45}\]):[0-9]{1,5}")
 
 
 def find_announcement_fault(event: BackendServerAnnounced) -> str:
--- a/packages/core/tests/membership/test_links.py
+++ b/packages/core/tests/membership/test_links.py
@@ -183,6 +183,25 @@
         self.assertEqual(opened(out), ["b:80"])
         self.assertNotIn(effects.CompeteForSlot(), out)
 
+    def test_odd_addresses_are_not_dialled(self) -> None:
+        """Guards against an entry of another writer that has other targets than nodes dialled."""
+        odd = (
+            *("unix:/tmp/x:80", "xds:///a:80", "google-c2p:///a:80", "dns://b/a:80"),
+            *("a/b:80", "a%b:80", "a,b:80", "[::1:80", "a b:80", "\u00fc:80", ":80", "80", ""),
+            *("a:0", "a:65536", "a:99999999999", "a:-1", "a:+1", "a:\u0668", "a:" + "9" * 5000),
+            "x" * 100_000 + ":80",
+        )
+        node = SingleNode(make_settings("a"))
+        node.advance(100)
+        for address in odd:
+            with self.subTest(address=address[:40]):
+                out = node.handle(events.SlotsRead, (events.SlotHolder("east-1", 0, address),))
+                self.assertEqual(len(reports_of(out, "slot-refused")), 1)
+        valid = ("host-1.example_2:80", "10.0.0.1:65535", "[::1]:1")
+        holders = tuple(events.SlotHolder("east-1", 1, address) for address in odd + valid)
+        node.handle(events.SlotsRead, holders)
+        self.assertEqual(set(opened(node.advance(100))), set(valid))
+
     def test_seeds_when_store_is_down(self) -> None:
         """Guards against a restart that fails because the store is down."""
         node = SingleNode(make_settings("a", seeds=("b:80", "c:80")))
