Refuse a start time in a distant future

A heartbeat of another writer that is valid but for a start time in the future replaced the present backend server, and every later announcement of the true one, its departure too, was outdated until that time came. Announcements were ordered by a start time that nothing checked.

Cause: the node did not compare the start time with its own clock. The announcement now carries when it was heard, and a start over an hour after that is refused; a departure recalled from an entry is checked the same way. Clocks of machines differ by seconds.

--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -260,6 +260,7 @@
     :param started_unix_ms: when its process started, in milliseconds since 1970, or 0.
     :param sequence: rises with each announcement of one process; ``None`` when not given.
     :param cold_ms: how much longer it is slow after its start, in milliseconds.
+    :param heard_unix_ms: when this node heard it, in milliseconds since 1970, or 0 when not noted.
     """
 
     service: str
@@ -270,6 +271,7 @@
     started_unix_ms: int = 0
     sequence: int | None = None
     cold_ms: float = 0.0
+    heard_unix_ms: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/membership/_validation.py
+++ b/packages/core/src/bamboonotch_core/membership/_validation.py
@@ -21,6 +21,8 @@
 MAX_SLOTS = 10_000
 MAX_RELAY_SLOT = 1_000
 MAX_COLD_MS = 3_600_000
+# Clocks differ by seconds. A start time far ahead would outdate every later announcement.
+MAX_CLOCK_LEAD_MS = 3_600_000
 # A counter that a faulty peer has raised to this limit can still be raised further.
 MAX_COUNTER = 1 << 62
 ANNOUNCED_STATES = {
@@ -51,6 +53,8 @@
         return f"process id {event.instance_id!r:.130} must be 1 to 128 printable ASCII characters"
     if not 0 <= event.started_unix_ms < MAX_COUNTER:
         return f"start time of process {event.instance_id!r} must be 0 to {MAX_COUNTER - 1} ms"
+    if event.heard_unix_ms and event.started_unix_ms > event.heard_unix_ms + MAX_CLOCK_LEAD_MS:
+        return f"process {event.instance_id!r} starts at {event.started_unix_ms} ms, in the future"
     if event.sequence is not None and not 0 <= event.sequence < MAX_COUNTER:
         return f"sequence of process {event.instance_id!r} must be 0 to {MAX_COUNTER - 1}"
     if not 0 <= event.cold_ms <= MAX_COLD_MS:
--- a/packages/core/tests/test_announcements.py
+++ b/packages/core/tests/test_announcements.py
@@ -91,6 +91,7 @@
     {"instance_id": "i" * 1_000_000},
     {"started_unix_ms": HUGE_INTEGER},
     {"started_unix_ms": -1},
+    {"started_unix_ms": 2**50, "heard_unix_ms": 1_700_000_000_000},
     {"sequence": HUGE_INTEGER},
     {"sequence": -HUGE_INTEGER},
     {"cold_ms": math.nan},
@@ -130,6 +131,11 @@
         state = make_node_state(make_settings(), 1, 1, 0.0)
         self.assertEqual(reduce(state, DepartureRecalled(1.0, event)).state, state)
 
+    def test_clocks_that_differ(self) -> None:
+        """Guards against a backend server that is refused because its clock is a little ahead."""
+        event = replace(_announce("b", "ready", 1, started=61_000), heard_unix_ms=1000)
+        self.assertEqual(reduce(self.state, event).state.announcement, event)
+
 
 class DepartureRecallTest(unittest.TestCase):
     """What a process that starts takes over from the one before.
--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -14,6 +15,7 @@
 from bamboonotch_core.effects import CompeteForSlot, KeepDeparture, ReadSlots, Report, WatchDocument
 from bamboonotch_core.errors import BamboonotchError, StoreError, StoreValueError
 from bamboonotch_core.events import (
+    BackendServerAnnounced,
     DepartureRecalled,
     DocumentRead,
     DocumentRefused,
@@ -24,7 +26,7 @@
     StoreReadFailed,
 )
 from bamboonotch_core.settings import NodeSettings
-from bamboonotch_node.clock import now_ms
+from bamboonotch_node.clock import now_ms, unix_ms
 from bamboonotch_node.forwarding import EffectHandlers
 from bamboonotch_node.runtime._store_tasks import StoreTasks
 from bamboonotch_store.registration import Registration, read_registered
@@ -66,7 +68,7 @@
             reactor,
             random,
             report,
-            lambda announcement: dispatch(DepartureRecalled(now_ms(), announcement)),
+            self._recall_departure,
         )
         self._tasks = StoreTasks(report)
 
@@ -106,6 +108,10 @@
     def _keep_departure(self, effect: KeepDeparture) -> None:
         self._registration.keep_departure(effect.announcement)
 
+    def _recall_departure(self, announcement: BackendServerAnnounced) -> None:
+        recalled = replace(announcement, heard_unix_ms=unix_ms())
+        self._dispatch(DepartureRecalled(now_ms(), recalled))
+
     async def _answer(
         self, operation: StoreOperation, work: Coroutine[Deferred[Any], Any, Event]
     ) -> None:
