Show that a response that is broken off never looks complete

A backend server that stops in the middle of a head and closes: can the caller get a 200 with an empty or short body? Tried through the whole request path, with a dialect that trusts a body without a length: every byte of heads with a length, chunks, neither, a folded header, line feeds only; after one and two interim responses; on a connection in use again; ended by a close and by a reset; bodies cut at the ends of chunks, in trailers, short of their length, and behind 256 KiB that have left already.

--- a/packages/node/tests/forwarding/support.py
+++ b/packages/node/tests/forwarding/support.py
@@ -23,6 +23,7 @@
     RequestSettings,
     StoreSettings,
 )
+from bamboonotch_node.dialect import OWN_DIALECT, HttpDialect
 from bamboonotch_node.http_ingress import RequestPath
 from bamboonotch_testing.backend_server import BackendServer, ServiceTimes, parse_service_time
 from bamboonotch_testing.caller import Call, CallerClient
@@ -110,8 +111,14 @@
     """
 
     def __init__(
-        self, node_id: str, backend: str = "", incarnation: int = 1, **settings: Any
+        self,
+        node_id: str,
+        backend: str = "",
+        incarnation: int = 1,
+        dialect: HttpDialect = OWN_DIALECT,
+        **settings: Any,
     ) -> None:
+        self.dialect = dialect
         self.node_id = node_id
         self.settings = NodeSettings(
             IdentitySettings(node_id, "test", "r", "d", "", "", ""),
@@ -140,6 +147,7 @@
             running_version=lambda: 7,
             load=lambda: 3,
             report=self.reports.append,
+            dialect=self.dialect,
             request_settings=lambda: self.limits.apply(self.settings.requests),
         )
         self.path.backend.address = self.backend
