Take no request that may outlast a process that stops

In a planned stop, a node whose own backend server was at work went on taking callers' requests until its last moment and passed them on; when it ended, they were cut without an answer, orders among them, with the order run. So were requests that came before and whose limit lay behind the end.

Cause: the ingress refused only once the owner's side was idle, so that calls of the server at work are served, or never when it was not idle before the deadline of the shutdown. Nothing compared the time that a request may take with what is left of the process. Now a request whose limit ends after the process is refused at once as not run, with Retry-After; calls with short limits are still taken.

Ruled out: the queue of other owners (each of the requests cut had been passed on and run); requests on kept connections in particular (new ones were cut as well).

Core: test_reducer.py failed (the field did not exist).

Not mended: a response that is on its way at the end is still cut. A request whose limit is longer than the whole grace is refused from the signal on, although most would end in time.

--- a/packages/core/src/bamboonotch_core/outcomes/__init__.py
+++ b/packages/core/src/bamboonotch_core/outcomes/__init__.py
@@ -9,7 +9,7 @@
     supersedes_attempt,
 )
 from bamboonotch_core.outcomes._reasons import AnswerReason, RefusalReason
-from bamboonotch_core.outcomes._reducer import reduce_outcomes
+from bamboonotch_core.outcomes._reducer import end_requests, reduce_outcomes
 from bamboonotch_core.outcomes._state import (
     Attempt,
     OutcomeState,
@@ -29,6 +29,7 @@
     "Phase",
     "RefusalReason",
     "attempt_owner_incarnation",
+    "end_requests",
     "make_attempt_id",
     "make_ingress_tag",
     "make_outcome_state",
--- a/packages/core/src/bamboonotch_core/outcomes/_expiry.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_expiry.py
@@ -13,7 +13,7 @@
 from bamboonotch_core.routing import RoutingTable, Verdict
 from bamboonotch_core.transition import Transition
 
-__all__ = ["cancel_effects", "expire", "fence_effect"]
+__all__ = ["cancel_effects", "end_unanswered", "expire", "fence_effect"]
 
 CLEANUP_INTERVAL_MS = 10_000.0
 MIN_SILENCE_MS = 500.0  # callers that set very short timeouts must not eject healthy owners
@@ -115,6 +115,23 @@
     )
 
 
+def end_unanswered(state: OutcomeState, now_ms: float) -> Step:
+    """End every request whose response has not begun, because the process ends.
+
+    :param now_ms: monotonic clock, in milliseconds.
+    :returns: the new state and the effects of all requests that were ended.
+    """
+    effects: list[Effect] = []
+    for request in state.requests.values():
+        if request.phase is Phase.RESPONDING:
+            continue
+        state, reports = end_attempt(state, request, Verdict.NONE, now_ms)
+        reason = AnswerReason.SHUTTING_DOWN
+        step = finish_request(state, request, Outcome.UNKNOWN, reason, now_ms)
+        effects.extend((*cancel_effects(request), *step.effects, *reports))
+    return Transition(state, tuple(effects))
+
+
 def expire(state: OutcomeState, table: RoutingTable, now_ms: float) -> Step:
     """Handle the deadlines and fences that are due, and remove unused entries periodically.
 
--- a/packages/core/src/bamboonotch_core/outcomes/_reducer.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reducer.py
@@ -18,7 +18,7 @@
     on_unknown,
 )
 from bamboonotch_core.outcomes._budget import earn_token
-from bamboonotch_core.outcomes._expiry import cancel_effects, expire, fence_effect
+from bamboonotch_core.outcomes._expiry import cancel_effects, end_unanswered, expire, fence_effect
 from bamboonotch_core.outcomes._keys import check_idempotency_key
 from bamboonotch_core.outcomes._patience import is_returning, record_timeout
 from bamboonotch_core.outcomes._reasons import BUSY_REASONS, AnswerReason, RefusalReason
@@ -54,7 +54,7 @@
 )
 from bamboonotch_core.transition import Transition
 
-__all__ = ["reduce_outcomes"]
+__all__ = ["end_requests", "reduce_outcomes"]
 
 KILOBYTE = 1024.0
 AVOID_BUSY_MS = 100.0  # about the time in which a queue of short requests advances
@@ -71,6 +71,15 @@
 Step = Transition[OutcomeState]
 
 
+def end_requests(state: OutcomeState, now_ms: float) -> Step:
+    """Refuse new requests, and answer those whose response has not begun: their outcome is unknown.
+
+    :param now_ms: monotonic clock, in milliseconds.
+    :returns: the new state, and the effects that answer the requests and cancel their attempts.
+    """
+    return end_unanswered(replace_fields(state, shutting_down=True), now_ms)
+
+
 def reduce_outcomes(state: OutcomeState, event: Event, table: RoutingTable) -> Step:
     """Handle one event at the ingress.
 
@@ -104,6 +113,9 @@
         return match.inactive_reason
     if event.timeout_ms is not None and not event.timeout_ms > 0:
         return AnswerReason.TIMEOUT_MALFORMED
+    if event.now_ms + _timeout_ms(event, match.route) > state.requests_end_ms:
+        # It may need longer than this process has left, and would then be broken off.
+        return AnswerReason.SHUTTING_DOWN
     if len(state.requests) >= request_limit:
         return AnswerReason.TOO_MANY_REQUESTS
     if event.idempotency_key and not match.route.idempotent:
@@ -178,12 +190,18 @@
     return route.split[-1].service
 
 
+def _timeout_ms(event: RequestArrived, route: Route) -> float:
+    """Return the shorter of the timeouts of a route and of the caller, in milliseconds."""
+    if event.timeout_ms is None:
+        return route.timeout_ms
+    return min(route.timeout_ms, event.timeout_ms)
+
+
 def _pending_request(
     event: RequestArrived, match: RouteMatch, service: str, returning: bool
 ) -> PendingRequest:
     route = match.route
     caller_timeout_ms = route.timeout_ms if event.timeout_ms is None else event.timeout_ms
-    timeout_ms = min(route.timeout_ms, caller_timeout_ms)
     return PendingRequest(
         request_id=event.request_id,
         service=service,
@@ -194,7 +212,7 @@
         request_class=route.request_class,
         idempotent=route.idempotent,
         idempotency_key=event.idempotency_key,
-        deadline_ms=event.now_ms + timeout_ms,
+        deadline_ms=event.now_ms + _timeout_ms(event, route),
         arrived_attempt=event.attempt,
         header_attempt=event.attempt,
     )
--- a/packages/core/src/bamboonotch_core/outcomes/_state.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_state.py
@@ -103,6 +103,8 @@
     :param seed: current seed for random numbers, with 64 bits.
     :param next_sequence: sequence number of the next attempt of this process.
     :param shutting_down: whether new requests are refused.
+    :param requests_end_ms: by when every request must have its answer, because the process ends;
+        infinity unless it was asked to.
     :param next_expiry_ms: time before which no deadline and no fence is due.
     :param next_cleanup_ms: when entries of absent owners and services are next removed.
     :param requests: requests in progress, by request id.
@@ -118,6 +120,7 @@
     seed: int
     next_sequence: int = 1
     shutting_down: bool = False
+    requests_end_ms: float = math.inf
     next_expiry_ms: float = math.inf
     next_cleanup_ms: float = 0.0
     requests: Map[str, PendingRequest] = field(default_factory=Map)
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -43,7 +43,7 @@
     reduce_membership,
     routing_generation,
 )
-from bamboonotch_core.outcomes import reduce_outcomes
+from bamboonotch_core.outcomes import end_requests, reduce_outcomes
 from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import (
     BackendFinished,
@@ -246,9 +246,11 @@
     if state.shutdown_deadline_ms is not None:
         return Transition(state)
     requests = state.membership.settings.requests
+    deadline_ms = event.now_ms + requests.longest_shutdown_ms
     state = replace_fields(
         state,
-        shutdown_deadline_ms=event.now_ms + requests.longest_shutdown_ms,
+        shutdown_deadline_ms=deadline_ms,
+        outcomes=replace_fields(state.outcomes, requests_end_ms=deadline_ms),
         shutdown_drain_ms=event.now_ms + requests.drain_after_ms,
         shutdown_idle_after_ms=event.now_ms + requests.shutdown_spread_ms,
     )
@@ -280,9 +282,16 @@
         return Transition(state, transition.effects + stop)
     if not _may_leave(state, event.now_ms):
         return transition
+    # Answers and refusals reach the callers in the time that the leaving takes to spread.
+    ended = end_requests(state.outcomes, event.now_ms)
     leaving = finish_shutdown(state.membership, event.now_ms, _local_versions(state))
-    state = replace_fields(state, membership=leaving.state, stop_ms=event.now_ms + STOP_DELAY_MS)
-    return Transition(state, transition.effects + leaving.effects)
+    state = replace_fields(
+        state,
+        outcomes=ended.state,
+        membership=leaving.state,
+        stop_ms=event.now_ms + STOP_DELAY_MS,
+    )
+    return Transition(state, transition.effects + ended.effects + leaving.effects)
 
 
 def _compete(transition: NodeTransition) -> NodeTransition:
--- a/packages/core/tests/outcomes/test_reducer.py
+++ b/packages/core/tests/outcomes/test_reducer.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 
 from bamboonotch_core.effects import Effect, Report
 from bamboonotch_core.events import Event, ShutdownRequested, Tick
@@ -11,6 +12,7 @@
     Outcome,
     OutcomeState,
     attempt_owner_incarnation,
+    end_requests,
     make_attempt_id,
     make_outcome_state,
     parse_attempt_id,
@@ -105,6 +107,33 @@
         return self.send(Tick(now_ms))
 
 
+class EndTest(unittest.TestCase):
+    """The end of the process, with requests whose limit is later."""
+
+    def test_unanswered_requests_get_an_answer(self) -> None:
+        """Guards against requests that end with the process, without any answer."""
+        ingress = Ingress()
+        waiting = ingress.forward("waiting", "POST")
+        lost = ingress.forward("lost", "POST")
+        self.assertIsInstance(ingress.reply(AttemptLost, lost, True)[0], SendFence)
+        responding = ingress.forward("responding")
+        ingress.respond(responding)
+        step = end_requests(ingress.state, ingress.now_ms)
+        answers = [item for item in step.effects if isinstance(item, RespondToCaller)]
+        cancelled = [item.attempt_id for item in step.effects if isinstance(item, CancelAttempt)]
+        self.assertEqual({item.request_id for item in answers}, {"waiting", "lost"})
+        self.assertEqual(
+            {(item.status, item.outcome, item.reason) for item in answers},
+            {(502, Outcome.UNKNOWN, "shutting-down")},
+        )
+        self.assertEqual(set(cancelled), {waiting.attempt_id, lost.attempt_id})
+        ingress.state = step.state
+        self.assertEqual(set(ingress.state.requests), {"responding"})
+        refused = ingress.arrive("late", timeout_ms=1.0)
+        assert isinstance(refused, RespondToCaller)
+        self.assertEqual((refused.status, refused.reason), (503, "shutting-down"))
+
+
 class ArrivalTest(unittest.TestCase):
     """Handling of a request when it arrives."""
 
@@ -134,6 +163,18 @@
         ingress.send(ShutdownRequested(0.0))
         self._check(ingress.arrive(), 503, "shutting-down")
 
+    def test_requests_that_may_outlast_the_process_are_refused(self) -> None:
+        """Guards against late requests that are passed on and cut when the process ends."""
+        for method in ("GET", "POST"):
+            ingress = Ingress()
+            ingress.state = replace(ingress.state, requests_end_ms=ingress.now_ms + 500.0)
+            self._check(ingress.arrive(method=method), 503, "shutting-down")
+            self._check(ingress.arrive(method=method, timeout_ms=501.0), 503, "shutting-down")
+            self.assertEqual(ingress.forward(method=method, timeout_ms=500.0).deadline_ms, 1500.0)
+            ingress.now_ms += 101.0
+            self._check(ingress.arrive("c", method, timeout_ms=400.0), 503, "shutting-down")
+            self.assertEqual(ingress.forward("d", method, timeout_ms=399.0).deadline_ms, 1500.0)
+
     def test_keys_outside_the_window_are_refused(self) -> None:
         """Guards against a key whose claim may have been deleted already."""
         ingress = Ingress()
--- a/packages/core/tests/test_reducer.py
+++ b/packages/core/tests/test_reducer.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from dataclasses import replace
 
+from bamboonotch_core.admission import LiveAttempt, Stage, is_idle
 from bamboonotch_core.effects import CompeteForSlot, Effect, ReadNewest, StopCompeting, StopProcess
 from bamboonotch_core.events import (
     BackendServerAnnounced,
@@ -148,6 +150,28 @@
         self.assertIn(StopProcess(), self.tick(15))
         self.assertTrue(self.state.outcomes.shutting_down)
 
+    def test_busy_process_takes_nothing_that_may_outlast_it(self) -> None:
+        """Guards against callers that are served until a process ends with their requests.
+
+        Its backend server is at work, so the process goes on answering what that server calls.
+        """
+        requests = RequestSettings(shutdown_spread_ms=500, kill_after_ms=6000)
+        self.state = make_node_state(replace(self.settings, requests=requests), 7, 1, self.now_ms)
+        self.serve()
+        self.send(ShutdownRequested(self.now_ms))
+        ends_ms = self.now_ms + requests.longest_shutdown_ms
+        self.assertEqual(self.state.outcomes.requests_end_ms, ends_ms)
+        attempt = LiveAttempt("x", "menu-read", False, math.inf, math.inf, "", Stage.DISPATCHED)
+        live = self.state.admission.live.set("x", attempt)
+        self.state = replace(self.state, admission=replace(self.state.admission, live=live))
+        self.assertFalse(is_idle(self.state.admission))
+        while self.now_ms + TICK_MS < ends_ms:
+            self.assertNotIn(StopProcess(), self.tick())
+            self.assertFalse(self.state.outcomes.shutting_down)
+        self.tick()
+        self.assertTrue(self.state.outcomes.shutting_down)
+        self.assertIn(StopProcess(), self.tick(4))
+
     def test_ends_before_it_is_killed(self) -> None:
         """Guards against a process that is killed with answers on the way."""
         requests = RequestSettings(
--- a/packages/testing/src/bamboonotch_testing/platform_node/_node.py
+++ b/packages/testing/src/bamboonotch_testing/platform_node/_node.py
@@ -38,7 +38,7 @@
 [requests]
 retry_after_ms = 200
 retry_budget_initial = 3
-shutdown_spread_ms = 500
+shutdown_spread_ms = {plan.shutdown_spread_ms}
 shutdown_ms = 5000
 """
 
@@ -54,6 +54,8 @@
     :param region: its region.
     :param data_centre: its data centre.
     :param peer_address: ``ip:port`` that other nodes dial; empty for the one it binds.
+    :param shutdown_spread_ms: how long callers may go on sending to it while it shuts down, in
+        milliseconds.
     :param further_settings: lines appended to the settings, which belong to ``[requests]``.
     """
 
@@ -64,6 +66,7 @@
     region: str = "bagmati"
     data_centre: str = "ktm-a"
     peer_address: str = ""
+    shutdown_spread_ms: int = 500
     further_settings: str = ""
 
 
