Refuse work that may outlast an owner that stops

An owner that was asked to end took work of other nodes for 1.7 s more, whatever its limit, and dispatched what was queued. Work that was not done when its process ended was lost, orders with an unknown outcome, although another owner of the service was free.

Cause: only the moment of the offer was looked at, not what is left of the process. An attempt whose limit lies behind the end is now refused as not run and goes to another owner; so are queued ones when the shutdown begins.

Ruled out: requests in the queue at the drain, which were refused as not run before.

--- a/packages/core/src/bamboonotch_core/admission/__init__.py
+++ b/packages/core/src/bamboonotch_core/admission/__init__.py
@@ -1,7 +1,7 @@
 """Owner side of a request: slots, class queues, concurrency limit, claims, fences and drain."""
 
 from bamboonotch_core.admission._capacity import allowed_slots, hard_slots, is_draining
-from bamboonotch_core.admission._reducer import reduce_admission
+from bamboonotch_core.admission._reducer import begin_shutdown, reduce_admission
 from bamboonotch_core.admission._state import (
     AdmissionState,
     BackendServer,
@@ -18,6 +18,7 @@
     "LiveAttempt",
     "Stage",
     "allowed_slots",
+    "begin_shutdown",
     "hard_slots",
     "is_draining",
     "is_idle",
--- a/packages/core/src/bamboonotch_core/admission/_ending.py
+++ b/packages/core/src/bamboonotch_core/admission/_ending.py
@@ -13,7 +13,7 @@
 from bamboonotch_core.request_events import BackendResult, FenceState
 from bamboonotch_core.transition import Transition
 
-__all__ = ["refuse", "refuse_queued", "refuse_waiting", "remove_live_attempt"]
+__all__ = ["limit_work", "refuse", "refuse_queued", "refuse_waiting", "remove_live_attempt"]
 
 Step = Transition[AdmissionState]
 
@@ -83,6 +83,18 @@
     return _refuse_all(state, ids, reason, now_ms)
 
 
+def limit_work(state: AdmissionState, end_ms: float, reason: str, now_ms: float) -> Step:
+    """Refuse every queued attempt that may go on after the process, and those that come later.
+
+    :param end_ms: by when all work must have ended, on the monotonic clock, in milliseconds.
+    :param reason: a value of ``RefusalReason``.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    queued = [item for queue in state.queues.values() for item in queue.entries.values()]
+    late = [item for item in queued if state.live[item].deadline_ms > end_ms]
+    return _refuse_all(replace_fields(state, work_end_ms=end_ms), late, reason, now_ms)
+
+
 def refuse_waiting(state: AdmissionState, reason: str, now_ms: float) -> Step:
     """Refuse every queued or claimed attempt as not run.
 
--- a/packages/core/src/bamboonotch_core/admission/_offers.py
+++ b/packages/core/src/bamboonotch_core/admission/_offers.py
@@ -63,7 +63,8 @@
         return RefusalReason.WRONG_SERVICE if state.backend.service else RefusalReason.NOT_READY
     if event.request_class not in configuration.classes:
         return RefusalReason.UNKNOWN_CLASS
-    if is_draining(state):
+    if is_draining(state) or event.deadline_ms > state.work_end_ms:
+        # Work that may outlast this process is for another owner.
         return RefusalReason.DRAINING
     if hard_slots(state, configuration) < 1:
         return RefusalReason.NOT_READY
--- a/packages/core/src/bamboonotch_core/admission/_reducer.py
+++ b/packages/core/src/bamboonotch_core/admission/_reducer.py
@@ -6,6 +6,7 @@
 
 from bamboonotch_core.admission._backend import apply_announcement, start_or_refuse_waiting
 from bamboonotch_core.admission._capacity import is_draining
+from bamboonotch_core.admission._ending import limit_work
 from bamboonotch_core.admission._expiry import expire
 from bamboonotch_core.admission._fences import cancel, fence
 from bamboonotch_core.admission._offers import admit
@@ -21,6 +22,7 @@
     Tick,
     UndrainRequested,
 )
+from bamboonotch_core.outcomes import RefusalReason
 from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import (
     BackendFinished,
@@ -31,7 +33,7 @@
 )
 from bamboonotch_core.transition import Transition
 
-__all__ = ["reduce_admission"]
+__all__ = ["begin_shutdown", "reduce_admission"]
 
 Step = Transition[AdmissionState]
 
@@ -78,6 +80,16 @@
     return finish_work(state, event, configuration)
 
 
+def begin_shutdown(state: AdmissionState, end_ms: float, now_ms: float) -> Step:
+    """Take only work that ends before the process, while it still serves.
+
+    :param end_ms: by when all work must have ended, on the monotonic clock, in milliseconds.
+    :param now_ms: monotonic clock, in milliseconds.
+    :returns: the new state and the refusals of queued work.
+    """
+    return limit_work(state, end_ms, RefusalReason.DRAINING, now_ms)
+
+
 @_reduce.register
 def _on_cancel(event: WorkCancelled, state: AdmissionState, configuration: Configuration) -> Step:
     return cancel(state, event, configuration)
--- a/packages/core/src/bamboonotch_core/admission/_state.py
+++ b/packages/core/src/bamboonotch_core/admission/_state.py
@@ -111,7 +111,9 @@
     :param incarnations: incarnations that this process has had, oldest first.
     :param backend: the backend server beside this node.
     :param draining: whether an operator asked for no new work.
-    :param shutting_down: whether the process was asked to end.
+    :param shutting_down: whether the process ends and takes no more work.
+    :param work_end_ms: by when all work must have ended, because the process ends; infinity unless
+        it was asked to.
     :param idle_reported: whether ``drain-idle`` was reported for the current drain.
     :param slots_held: slots taken by dispatched attempts or reserved for claims.
     :param backend_refusals: consecutive attempts that the backend server refused or that could not
@@ -137,6 +139,7 @@
     backend: BackendServer
     draining: bool = False
     shutting_down: bool = False
+    work_end_ms: float = math.inf
     idle_reported: bool = False
     slots_held: int = 0
     backend_refusals: int = 0
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -8,7 +8,7 @@
 
 from bamboonotch_core._membership_view import refresh_view
 from bamboonotch_core._slot_competition import wants_slot
-from bamboonotch_core.admission import is_idle, reduce_admission, with_incarnation
+from bamboonotch_core.admission import begin_shutdown, is_idle, reduce_admission, with_incarnation
 from bamboonotch_core.announcements import is_new_departure, is_outdated
 from bamboonotch_core.distribution import (
     DistributionState,
@@ -247,14 +247,17 @@
         return Transition(state)
     requests = state.membership.settings.requests
     deadline_ms = event.now_ms + requests.longest_shutdown_ms
+    limited = begin_shutdown(state.admission, deadline_ms, event.now_ms)
     state = replace_fields(
         state,
         shutdown_deadline_ms=deadline_ms,
+        admission=limited.state,
         outcomes=replace_fields(state.outcomes, requests_end_ms=deadline_ms),
         shutdown_drain_ms=event.now_ms + requests.drain_after_ms,
         shutdown_idle_after_ms=event.now_ms + requests.shutdown_spread_ms,
     )
-    return _drain_when_due(state, event.now_ms)
+    draining = _drain_when_due(state, event.now_ms)
+    return Transition(draining.state, limited.effects + draining.effects)
 
 
 def _drain_when_due(state: NodeState, now_ms: float) -> NodeTransition:
--- a/packages/core/tests/admission/test_reducer.py
+++ b/packages/core/tests/admission/test_reducer.py
@@ -7,6 +7,7 @@
 from bamboonotch_core.admission import (
     Stage,
     allowed_slots,
+    begin_shutdown,
     is_idle,
     make_admission_state,
     reduce_admission,
@@ -310,6 +311,22 @@
             self.assertTrue(is_idle(owner.state))
             self.assertEqual(owner.tick(100.0), ())
 
+    def test_work_that_may_outlast_the_process_is_refused(self) -> None:
+        """Guards against an owner that ends with work which another owner could have done."""
+        owner = Owner(slots=1)
+        running = owner.dispatch()
+        owner.offer(deadline_ms=owner.now_ms + 2000.0)
+        owner.offer(deadline_ms=owner.now_ms + 2001.0)
+        step = begin_shutdown(owner.state, owner.now_ms + 2000.0, owner.now_ms)
+        owner.state = step.state
+        self.assertEqual(_reasons(step.effects), ["draining"])
+        self.assertEqual(owner.state.queued, 1)
+        late = owner.offer(deadline_ms=owner.now_ms + 2001.0)
+        self.assertEqual([(item.result, item.reason) for item in late], [(NOT_RUN, "draining")])
+        self.assertEqual(owner.offer(deadline_ms=owner.now_ms + 2000.0), ())
+        dispatched = [item for item in owner.finish(running) if type(item) is DispatchToBackend]
+        self.assertEqual(len(dispatched), 1)
+
     def test_undrain_takes_work_again(self) -> None:
         """Guards against a node that refuses work after its drain has ended."""
         owner = Owner()
