--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -8,7 +8,7 @@
 
 from bamboonotch_core._membership_view import refresh_view
 from bamboonotch_core._slot_competition import wants_slot
-from bamboonotch_core.admission import is_idle, reduce_admission, with_incarnation
+from bamboonotch_core.admission import begin_shutdown, is_idle, reduce_admission, with_incarnation
 from bamboonotch_core.announcements import is_new_departure, is_outdated
 from bamboonotch_core.distribution import (
     DistributionState,
@@ -35,6 +35,7 @@
 )
 from bamboonotch_core.membership import (
     LocalVersions,
+    find_announcement_fault,
     finish_shutdown,
     members_of_service,
     own_record,
@@ -42,7 +43,7 @@
     reduce_membership,
     routing_generation,
 )
-from bamboonotch_core.outcomes import reduce_outcomes
+from bamboonotch_core.outcomes import end_requests, reduce_outcomes
 from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import (
     BackendFinished,
@@ -206,6 +207,9 @@
 
 @_reduce_event.register
 def _(event: BackendServerAnnounced, state: NodeState) -> NodeTransition:
+    fault = find_announcement_fault(event)
+    if fault:
+        return Transition(state, (Report("announcement-refused", (("reason", fault),)),))
     if is_outdated(state.announcement, event):
         fields = (
             ("instance_id", event.instance_id),
@@ -224,6 +228,9 @@
 def _(event: DepartureRecalled, state: NodeState) -> NodeTransition:
     """Take over what an earlier process had acknowledged, unless a later server is there."""
     recalled = replace_fields(event.announcement, now_ms=event.now_ms)
+    fault = find_announcement_fault(recalled)
+    if fault:
+        return Transition(state, (Report("departure-refused", (("reason", fault),)),))
     latest = state.announcement
     if latest is not None and latest.instance_id != recalled.instance_id:
         return Transition(state)
@@ -239,13 +246,18 @@
     if state.shutdown_deadline_ms is not None:
         return Transition(state)
     requests = state.membership.settings.requests
+    deadline_ms = event.now_ms + requests.longest_shutdown_ms
+    limited = begin_shutdown(state.admission, deadline_ms, event.now_ms)
     state = replace_fields(
         state,
-        shutdown_deadline_ms=event.now_ms + requests.longest_shutdown_ms,
+        shutdown_deadline_ms=deadline_ms,
+        admission=limited.state,
+        outcomes=replace_fields(state.outcomes, requests_end_ms=deadline_ms),
         shutdown_drain_ms=event.now_ms + requests.drain_after_ms,
         shutdown_idle_after_ms=event.now_ms + requests.shutdown_spread_ms,
     )
-    return _drain_when_due(state, event.now_ms)
+    draining = _drain_when_due(state, event.now_ms)
+    return Transition(draining.state, limited.effects + draining.effects)
 
 
 def _drain_when_due(state: NodeState, now_ms: float) -> NodeTransition:
@@ -273,9 +285,16 @@
         return Transition(state, transition.effects + stop)
     if not _may_leave(state, event.now_ms):
         return transition
+    # Answers and refusals reach the callers in the time that the leaving takes to spread.
+    ended = end_requests(state.outcomes, event.now_ms)
     leaving = finish_shutdown(state.membership, event.now_ms, _local_versions(state))
-    state = replace_fields(state, membership=leaving.state, stop_ms=event.now_ms + STOP_DELAY_MS)
-    return Transition(state, transition.effects + leaving.effects)
+    state = replace_fields(
+        state,
+        outcomes=ended.state,
+        membership=leaving.state,
+        stop_ms=event.now_ms + STOP_DELAY_MS,
+    )
+    return Transition(state, transition.effects + ended.effects + leaving.effects)
 
 
 def _compete(transition: NodeTransition) -> NodeTransition:
--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -14,6 +14,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
+from bamboonotch_core.announcements import LEAVING_STATES
 from bamboonotch_core.effects import Report
 from bamboonotch_core.errors import StoreError
 from bamboonotch_core.events import BackendServerAnnounced, SlotHolder
@@ -34,6 +35,7 @@
     "started_unix_ms": (int,),
     "sequence": (int, type(None)),
 }
+MAX_TEXT_CHARACTERS = 128
 RENEWALS_PER_LEASE = 3
 # Waits after a failed call, doubled with each failure; half of each is random, because a herd
 # would otherwise return to the store at once.
@@ -63,6 +65,8 @@
     data_centre, address = value.get("data_centre"), value.get("peer_address")
     if not isinstance(data_centre, str) or not isinstance(address, str):
         return None
+    if max(len(data_centre), len(address)) > MAX_TEXT_CHARACTERS:
+        return None
     return SlotHolder(data_centre, 0, address)
 
 
@@ -82,6 +86,8 @@
     for name, kinds in DEPARTURE_FIELDS.items():
         if type(raw.get(name)) not in kinds:
             return None
+    if raw["state"] not in LEAVING_STATES:
+        return None
     return BackendServerAnnounced(now_ms=0.0, **{name: raw[name] for name in DEPARTURE_FIELDS})
 
 
