Let the stand-in of the platform store come back from a copy

It could not be restored: revisions only rose, and no answer stated the era. A restore goes back to a copy: later entries and leases are gone, later revisions and lease ids are given out again, a watch after a revision that does not exist gets 410, and the header Store-Era, in all answers, rises by one. What others than the system had written since is returned, so that a test decides when it is written again.

--- a/packages/testing/src/bamboonotch_testing/platform_store/__init__.py
+++ b/packages/testing/src/bamboonotch_testing/platform_store/__init__.py
@@ -6,7 +6,7 @@
     make_configuration,
     make_rule,
 )
-from bamboonotch_testing.platform_store._data import Item, PlatformData
+from bamboonotch_testing.platform_store._data import Item, PlatformData, StoreCopy
 from bamboonotch_testing.platform_store._server import Fault, PlatformStoreServer
 
 __all__ = [
@@ -16,6 +16,7 @@
     "Item",
     "PlatformData",
     "PlatformStoreServer",
+    "StoreCopy",
     "make_configuration",
     "make_rule",
 ]
--- a/packages/testing/src/bamboonotch_testing/platform_store/_data.py
+++ b/packages/testing/src/bamboonotch_testing/platform_store/_data.py
@@ -5,13 +5,23 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-__all__ = ["Change", "HistoryGoneError", "Item", "NoLeaseError", "PlatformData"]
-
+__all__ = [
+    "CONTROLLED_BY_OTHERS",
+    "Change",
+    "HistoryGoneError",
+    "Item",
+    "NoLeaseError",
+    "PlatformData",
+    "StoreCopy",
+]
+
+# Prefixes of the keys that only the operator and the backends write.
+CONTROLLED_BY_OTHERS = ("op/", "servers/")
 FIRST_REVISION = 100
 
 
 class HistoryGoneError(Exception):
-    """The history after a revision was dropped."""
+    """The history after a revision was dropped, or the store never had that revision."""
 
 
 class NoLeaseError(Exception):
@@ -50,6 +60,26 @@
     item: Item | None
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """A copy of the whole store, from which it can be restored.
+
+    :param revision: revision of the store.
+    :param oldest: revision after which the history is known.
+    :param next_lease: id of the next lease.
+    :param items: items by key.
+    :param lifetimes_s: lifetimes of the leases by id, in seconds.
+    :param changes: the history.
+    """
+
+    revision: int
+    oldest: int
+    next_lease: int
+    items: dict[str, Item]
+    lifetimes_s: dict[int, float]
+    changes: tuple[Change, ...]
+
+
 class PlatformData:
     """The state of the store.
 
@@ -58,6 +88,7 @@
 
     def __init__(self, clock_s: Callable[[], float]) -> None:
         self._clock_s = clock_s
+        self.era = 1
         self.revision = FIRST_REVISION
         self.items: dict[str, Item] = {}
         self.leases: dict[int, tuple[float, float]] = {}
@@ -95,8 +126,7 @@
         for key in removals:
             if self.items.pop(key, None) is not None:
                 self.changes.append(Change(key, self.revision, None))
-        for notify in list(self.on_change):
-            notify()
+        self._notify()
         return self.revision
 
     def changes_after(self, prefix: str, revision: int) -> list[Change]:
@@ -104,9 +134,9 @@
 
         :param prefix: the prefix.
         :param revision: the revision.
-        :raises HistoryGoneError: when that history was dropped.
+        :raises HistoryGoneError: when that history was dropped or the revision does not exist.
         """
-        if revision < self._oldest:
+        if not self._oldest <= revision <= self.revision:
             raise HistoryGoneError
         return [
             change
@@ -119,6 +149,53 @@
         self.changes.clear()
         self._oldest = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Copy the whole store."""
+        lifetimes_s = {lease: ttl_s for lease, (ttl_s, _) in self.leases.items()}
+        return StoreCopy(
+            self.revision,
+            self._oldest,
+            self._next_lease,
+            dict(self.items),
+            lifetimes_s,
+            tuple(self.changes),
+        )
+
+    def restore(self, copy: StoreCopy) -> dict[str, bytes]:
+        """Go back to a copy, as a store does that lost its disk, and begin the next era.
+
+        Revisions and lease ids after those of the copy are given out again.
+
+        :param copy: the copy.
+        :returns: what others than the system had written since, for ``write_again``.
+        """
+        now_s = self._clock_s()
+        lost = {
+            key: item.value
+            for key, item in self.items.items()
+            if key.startswith(CONTROLLED_BY_OTHERS) and copy.items.get(key) != item
+        }
+        self.era += 1
+        self.revision, self._oldest = copy.revision, copy.oldest
+        self._next_lease = copy.next_lease
+        self.items = dict(copy.items)
+        self.leases = {lease: (ttl_s, now_s + ttl_s) for lease, ttl_s in copy.lifetimes_s.items()}
+        self.changes = list(copy.changes)
+        self._notify()
+        return lost
+
+    def write_again(self, values: dict[str, bytes]) -> None:
+        """Write what others than the system had written before a restore.
+
+        :param values: values by key.
+        """
+        for key, value in values.items():
+            self.put(key, value)
+
+    def _notify(self) -> None:
+        for notify in list(self.on_change):
+            notify()
+
     def create_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id.
 
--- a/packages/testing/src/bamboonotch_testing/platform_store/_server.py
+++ b/packages/testing/src/bamboonotch_testing/platform_store/_server.py
@@ -15,6 +15,7 @@
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
 from bamboonotch_testing.platform_store._data import (
+    CONTROLLED_BY_OTHERS,
     HistoryGoneError,
     Item,
     NoLeaseError,
@@ -23,7 +24,6 @@
 
 __all__ = ["Fault", "PlatformStoreServer"]
 
-CONTROLLED_BY_OTHERS = ("op/", "servers/")
 LEASE_CHECK_S = 0.05
 PAGE_ITEMS = 500
 LATE_WRITE_S = 0.3
@@ -67,6 +67,7 @@
         self.data = PlatformData(time.monotonic)
         self.fault: Fault | None = None
         self.calls: Counter[str] = Counter()
+        self.states_era = True
         self._port: Any = None
         self._leases = LoopingCall(self.data.expire_leases)
 
@@ -125,12 +126,22 @@
             return self._watch(request)
         answer = self._answer(name, path, request.args, request.content.read())
         if fault is Fault.GARBLED:
+            self.state_era(request)
             request.write(b"{not json")
             return b""
         return self._send(request, answer)
 
+    def state_era(self, request: Request) -> None:
+        """Set the header of the era, unless the store is one without eras.
+
+        :param request: the request that is answered.
+        """
+        if self.states_era:
+            request.setHeader(b"store-era", str(self.data.era).encode())
+
     def _send(self, request: Request, answer: _Answer) -> bytes:
         status, value = answer
+        self.state_era(request)
         request.setResponseCode(status)
         request.setHeader(b"content-type", b"application/json")
         return json.dumps(value).encode()
@@ -248,6 +259,7 @@
         if self._server.fault is Fault.SILENT:
             return
         status, value = self._server.answer_watch(self._prefix, self._after)
+        self._server.state_era(self._request)
         self._request.setResponseCode(status)
         self._request.write(json.dumps(value).encode())
         self._request.finish()
--- /dev/null
+++ b/packages/testing/tests/platform_store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-in of the platform's store."""
