Report a restored store once, at the process that notices it

The log of a node could not tell a store that came back from an older copy from one that was slow or silent: both showed store-lost and store-regained, and nothing read the header Store-Era.

The adapter decodes the header into the answer of a read or watch of the document; 0 stands for a store that states none. The document reducer keeps the highest epoch and reports store-restored with both epochs, both revisions and the version held. A malformed header counts as none.

--- a/packages/core/src/bamboonotch_core/documents/_reducer.py
+++ b/packages/core/src/bamboonotch_core/documents/_reducer.py
@@ -10,6 +10,7 @@
 
 from bamboonotch_core.configuration import Document, parse_configuration
 from bamboonotch_core.distribution import MembershipView, Neighbour
+from bamboonotch_core.documents._epochs import note_store_epoch
 from bamboonotch_core.documents._peers import (
     announce_held_version,
     answer_request,
@@ -79,6 +80,7 @@
 
 @_handle.register
 def _(event: DocumentRead, step: Step) -> None:
+    note_store_epoch(step, event.epoch, event.revision, "")
     note_store_answer(step, event.revision)
     if event.version > step.state.held_version:
         _accept_document(step, event.version, event.document)
@@ -87,12 +89,14 @@
 
 @_handle.register
 def _(event: DocumentRefused, step: Step) -> None:
+    note_store_epoch(step, event.epoch, event.revision, "")
     note_store_answer(step, event.revision)
     step.report("version-refused", source="store", reason=event.reason)
 
 
 @_handle.register
 def _(event: DocumentUnchanged, step: Step) -> None:
+    note_store_epoch(step, event.epoch, event.revision, "")
     note_store_answer(step, event.revision)
 
 
--- a/packages/core/src/bamboonotch_core/documents/_state.py
+++ b/packages/core/src/bamboonotch_core/documents/_state.py
@@ -99,6 +99,7 @@
     :param reader_missed_ms: since when this node has missed the link to a store reader, in
         milliseconds, or ``None``.
     :param confirmation: how current the held version is.
+    :param store_epoch: epoch of the source; 0 before any, and at a source that states none.
     :param refused: versions whose documents were invalid, oldest first.
     """
 
@@ -123,6 +124,7 @@
     linked_ms: float | None = None
     reader_missed_ms: float | None = None
     confirmation: Confirmation = Confirmation()
+    store_epoch: int = 0
     refused: tuple[int, ...] = ()
 
     @property
--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -168,11 +168,13 @@
     :param version: its version.
     :param document: the document.
     :param revision: revision of the source to wait after.
+    :param epoch: epoch of the source; 0 if it states none.
     """
 
     version: int
     document: Document
     revision: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
@@ -181,10 +183,12 @@
 
     :param reason: why, for the log.
     :param revision: revision of the source to wait after.
+    :param epoch: epoch of the source; 0 if it states none.
     """
 
     reason: str
     revision: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
@@ -192,9 +196,11 @@
     """A read or watch ended without a document.
 
     :param revision: revision of the source to wait after.
+    :param epoch: epoch of the source; 0 if it states none.
     """
 
     revision: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -122,8 +122,8 @@
             # A later write replaces the faulty value, so the watch goes on from the start.
             return DocumentRefused(now_ms(), str(error), 0)
         if found.document is None:
-            return DocumentUnchanged(now_ms(), found.revision)
-        return DocumentRead(now_ms(), found.version, found.document, found.revision)
+            return DocumentUnchanged(now_ms(), found.revision, found.epoch)
+        return DocumentRead(now_ms(), found.version, found.document, found.revision, found.epoch)
 
     async def _read_members(self) -> Event:
         listing = await read_registered(self._store)
--- a/packages/store/src/bamboonotch_store/http.py
+++ b/packages/store/src/bamboonotch_store/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -85,11 +85,13 @@
     :param status: HTTP status.
     :param index: text of the header ``X-Consul-Index``, or empty.
     :param body: response body.
+    :param headers: response headers.
     """
 
     status: int
     index: str
     body: bytes
+    headers: Headers = field(default_factory=Headers, compare=False, repr=False)
 
 
 def _describe(error: Exception) -> str:
@@ -316,7 +318,7 @@
         reader = _BodyReader(deadline.note_progress)
         response.deliverBody(reader)
         body = await reader.body
-        return HttpAnswer(response.code, index.decode("ascii", "replace"), body)
+        return HttpAnswer(response.code, index.decode("ascii", "replace"), body, response.headers)
 
     def close(self) -> Deferred[None]:
         """End calls in progress and close all connections."""
--- a/packages/store/src/bamboonotch_store/shared.py
+++ b/packages/store/src/bamboonotch_store/shared.py
@@ -7,6 +7,10 @@
   refuses calls for now; a write may then have taken effect or may still do so;
 * ``StoreValueError`` when an answer or value is malformed;
 * ``LeaseEndedError`` when the lease of a call has ended.
+
+A store that was restored from a copy begins a new epoch. It has lost what was written since the
+copy, and gives the revisions and lease ids after it out again; so these mean something only
+together with their epoch. Epochs are numbers that rise, and 0 at a store that states none.
 """
 
 from __future__ import annotations
@@ -29,11 +33,13 @@
     :param version: version of the document, 0 without one.
     :param document: the document in the product's own form, or ``None`` when there is none or the
         wait ended without a change.
+    :param epoch: epoch of the store that answered.
     """
 
     revision: int
     version: int = 0
     document: Document | None = None
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
