Keep revisions and confirmations only within their epoch of the store

What callers saw: on other systems, a confirmed change that was not in force in time after the store had come back from a copy. Here a node that is to read the store after it had relied on others waits after the last confirmed revision. After a restore the new history may have passed that revision with other content; the watch then waits, the change before it is never seen, and the answer "nothing new" is passed on as a confirmation.

Cause: a revision was taken for a point in one history. Fix: the state of the document reducer belongs to one epoch. A newer epoch, stated by the store or by a heartbeat, drops the read in progress and the confirmation; readers read the document itself at once and the others wait for a confirmation of the new epoch as long as they do for a fresh one. An answer of an earlier epoch confirms nothing and is read again after the usual pause; a document that it brings is taken if its version is newer, because versions hold in every epoch. A watch that began in one epoch and is answered in the next has no revision to go on from. A later watch now ends the one before it. Heartbeats carry the epoch, one or two bytes.

Ruled out: an older document that is written again is not taken, and 410 was followed by a whole read before as well. test_restored_store of test_region_start.py bounds the reads of 98 nodes after a restore: four whole reads at most. A store that states no epoch is read as before.

--- a/packages/core/src/bamboonotch_core/documents/_epochs.py
+++ b/packages/core/src/bamboonotch_core/documents/_epochs.py
@@ -1,18 +1,20 @@
 """What this node knows of restores of the source.
 
 A source that was restored from a copy begins a new epoch. It has lost what was written since the
-copy, and gives the revisions after it out again.
+copy, and gives the revisions after it out again. So a revision, and the confirmation as of one,
+hold only within an epoch. Documents are ordered by their versions and hold in every epoch.
 """
 
 from __future__ import annotations
 
+from bamboonotch_core.documents._state import Confirmation, DocumentReading
 from bamboonotch_core.documents._step import Step
 
 __all__ = ["note_store_epoch"]
 
 
 def note_store_epoch(step: Step, epoch: int, revision: int, node_id: str) -> None:
-    """Take note of the epoch of the source.
+    """Take note of the epoch of the source, and drop what was known of an earlier one.
 
     :param epoch: the epoch; 0 if it is not stated.
     :param revision: revision of the source in that epoch; 0 if it is not known.
@@ -24,10 +26,18 @@
     step.update(store_epoch=epoch)
     if not before:
         return
+    _report_restore(step, before, revision, node_id)
+    if step.state.confirmation.confirmed_ms is not None:
+        step.update(confirmation=Confirmation(), restored_ms=step.now_ms)
+    # A watch in progress waits after a revision of the former epoch.
+    step.update(reading=DocumentReading())
+
+
+def _report_restore(step: Step, before: int, revision: int, node_id: str) -> None:
     step.report(
         "store-restored",
         epoch_before=before,
-        epoch=epoch,
+        epoch=step.state.store_epoch,
         revision_before=step.state.confirmation.revision,
         revision=revision,
         held_version=step.state.held_version,
--- a/packages/core/src/bamboonotch_core/documents/_reading.py
+++ b/packages/core/src/bamboonotch_core/documents/_reading.py
@@ -10,6 +10,8 @@
 
 from hashlib import blake2b
 
+from bamboonotch_core.distribution import Neighbour
+from bamboonotch_core.documents._epochs import note_store_epoch
 from bamboonotch_core.documents._state import Confirmation, DocumentReading, DocumentState
 from bamboonotch_core.documents._step import Step
 from bamboonotch_core.effects import WatchDocument
@@ -74,11 +76,14 @@
         revision = max(revision, step.state.confirmation.revision)
     wait_ms = step.state.settings.store.watch_ms if revision else 0
     step.update_reading(pending=True)
-    step.effects.append(WatchDocument(revision, wait_ms))
+    step.effects.append(WatchDocument(revision, wait_ms, step.state.store_epoch))
 
 
 def _is_read_due(step: Step) -> bool:
     confirmed_ms = step.state.confirmation.confirmed_ms
+    if confirmed_ms is None:
+        # After a restore the readers confirm anew, as if the last confirmation was of that moment.
+        confirmed_ms = step.state.restored_ms
     if confirmed_ms is None:
         return _is_start_read_due(step)
     if step.is_store_reader or step.now_ms - confirmed_ms >= _stale_after_ms(step):
@@ -122,11 +127,16 @@
     return int.from_bytes(digest, "big") / 2**32
 
 
-def note_store_answer(step: Step, revision: int) -> None:
+def note_store_answer(step: Step, revision: int, epoch: int) -> None:
     """Take note of an answer of the store.
 
     :param revision: the store's revision; 0 when the next read must not wait for a change.
+    :param epoch: the store's epoch.
     """
+    note_store_epoch(step, epoch, revision, "")
+    if revision and epoch < step.state.store_epoch:
+        _back_off(step, f"answer of epoch {epoch}, which was followed by a restore")
+        return
     if not step.state.store_reachable:
         step.report("store-regained", held_version=step.state.held_version)
         step.update(store_reachable=True)
@@ -141,6 +151,10 @@
 
 def note_read_failure(step: Step, event: StoreReadFailed) -> None:
     """Back off after a read without an answer."""
+    _back_off(step, event.reason)
+
+
+def _back_off(step: Step, reason: str) -> None:
     failures = step.state.reading.failures + 1
     limit_ms = MAX_BACKOFF_MS if step.is_store_reader else MAX_OTHERS_BACKOFF_MS
     wait_ms = min(limit_ms, MIN_BACKOFF_MS * 2 ** min(failures - 1, 10))
@@ -149,7 +163,7 @@
         may_use_confirmed=False, failures=failures, not_before_ms=step.now_ms + wait_ms
     )
     if step.state.store_reachable:
-        step.report("store-lost", reason=event.reason, held_version=step.state.held_version)
+        step.report("store-lost", reason=reason, held_version=step.state.held_version)
     step.update(reading=reading, store_reachable=False)
 
 
@@ -165,8 +179,11 @@
         )
 
 
-def take_confirmation(step: Step, heartbeat: Heartbeat) -> None:
+def take_confirmation(step: Step, peer: Neighbour, heartbeat: Heartbeat) -> None:
     """Take over a peer's confirmation if it also holds for the version held here."""
+    note_store_epoch(step, heartbeat.store_epoch, heartbeat.confirmed_revision, peer.node_id)
+    if heartbeat.store_epoch != step.state.store_epoch:
+        return
     if heartbeat.confirmed_age_ms is None or heartbeat.held_version > step.state.held_version:
         return
     confirmed_ms = step.now_ms - heartbeat.confirmed_age_ms
--- a/packages/core/src/bamboonotch_core/documents/_reducer.py
+++ b/packages/core/src/bamboonotch_core/documents/_reducer.py
@@ -10,7 +10,6 @@
 
 from bamboonotch_core.configuration import Document, parse_configuration
 from bamboonotch_core.distribution import MembershipView, Neighbour
-from bamboonotch_core.documents._epochs import note_store_epoch
 from bamboonotch_core.documents._peers import (
     announce_held_version,
     answer_request,
@@ -80,8 +79,7 @@
 
 @_handle.register
 def _(event: DocumentRead, step: Step) -> None:
-    note_store_epoch(step, event.epoch, event.revision, "")
-    note_store_answer(step, event.revision)
+    note_store_answer(step, event.revision, event.epoch)
     if event.version > step.state.held_version:
         _accept_document(step, event.version, event.document)
         delay_read_in_burst(step)
@@ -89,15 +87,13 @@
 
 @_handle.register
 def _(event: DocumentRefused, step: Step) -> None:
-    note_store_epoch(step, event.epoch, event.revision, "")
-    note_store_answer(step, event.revision)
+    note_store_answer(step, event.revision, event.epoch)
     step.report("version-refused", source="store", reason=event.reason)
 
 
 @_handle.register
 def _(event: DocumentUnchanged, step: Step) -> None:
-    note_store_epoch(step, event.epoch, event.revision, "")
-    note_store_answer(step, event.revision)
+    note_store_answer(step, event.revision, event.epoch)
 
 
 @_handle.register
@@ -133,7 +129,7 @@
 @_receive.register
 def _(message: Heartbeat, step: Step, peer: Neighbour) -> None:
     note_peer_version(step, peer, message.held_version)
-    take_confirmation(step, message)
+    take_confirmation(step, peer, message)
 
 
 @_receive.register
--- a/packages/core/src/bamboonotch_core/documents/_state.py
+++ b/packages/core/src/bamboonotch_core/documents/_state.py
@@ -99,7 +99,10 @@
     :param reader_missed_ms: since when this node has missed the link to a store reader, in
         milliseconds, or ``None``.
     :param confirmation: how current the held version is.
-    :param store_epoch: epoch of the source; 0 before any, and at a source that states none.
+    :param store_epoch: newest epoch of the source that is known, to which ``reading`` and
+        ``confirmation`` belong; 0 before any, and at a source that states none.
+    :param restored_ms: when this node learned that the source was restored, in milliseconds, or
+        ``None``.
     :param refused: versions whose documents were invalid, oldest first.
     """
 
@@ -125,6 +128,7 @@
     reader_missed_ms: float | None = None
     confirmation: Confirmation = Confirmation()
     store_epoch: int = 0
+    restored_ms: float | None = None
     refused: tuple[int, ...] = ()
 
     @property
--- a/packages/core/src/bamboonotch_core/effects.py
+++ b/packages/core/src/bamboonotch_core/effects.py
@@ -89,12 +89,16 @@
     Answered by ``DocumentRead``, ``DocumentRefused``, ``DocumentUnchanged`` or
     ``StoreReadFailed``.
 
+    A later effect replaces one that is not yet answered.
+
     :param revision: revision of the source to wait after; 0 reads at once.
     :param wait_ms: longest wait, in milliseconds.
+    :param epoch: epoch of the source in which it had that revision.
     """
 
     revision: int
     wait_ms: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -167,7 +167,7 @@
 
     :param version: its version.
     :param document: the document.
-    :param revision: revision of the source to wait after.
+    :param revision: revision of the source to wait after; 0 if that is not known.
     :param epoch: epoch of the source; 0 if it states none.
     """
 
@@ -182,7 +182,7 @@
     """What the source holds cannot be read as a document.
 
     :param reason: why, for the log.
-    :param revision: revision of the source to wait after.
+    :param revision: revision of the source to wait after; 0 if that is not known.
     :param epoch: epoch of the source; 0 if it states none.
     """
 
@@ -195,7 +195,7 @@
 class DocumentUnchanged(Event):
     """A read or watch ended without a document.
 
-    :param revision: revision of the source to wait after.
+    :param revision: revision of the source to wait after; 0 if that is not known.
     :param epoch: epoch of the source; 0 if it states none.
     """
 
--- a/packages/core/src/bamboonotch_core/membership/_exchange.py
+++ b/packages/core/src/bamboonotch_core/membership/_exchange.py
@@ -46,6 +46,7 @@
         versions.serving,
         versions.confirmed_revision,
         _age_ms(versions.confirmed_ms, step.now_ms),
+        versions.store_epoch,
     )
     step.send(link, heartbeat)
 
--- a/packages/core/src/bamboonotch_core/membership/_state.py
+++ b/packages/core/src/bamboonotch_core/membership/_state.py
@@ -45,6 +45,7 @@
     :param confirmed_revision: revision of the store as of which the held version was the newest.
     :param confirmed_ms: when the store stated that, on the monotonic clock in milliseconds, or
         ``None``.
+    :param store_epoch: newest epoch of the store that is known, in which it stated that.
     """
 
     held_version: int = 0
@@ -52,6 +53,7 @@
     serving: bool = False
     confirmed_revision: int = 0
     confirmed_ms: float | None = None
+    store_epoch: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/messages.py
+++ b/packages/core/src/bamboonotch_core/messages.py
@@ -44,6 +44,8 @@
     :param confirmed_revision: revision of the store as of which the held version was the newest; 0
         while that is not known.
     :param confirmed_age_ms: time since the store stated that, in milliseconds, or ``None``.
+    :param store_epoch: newest epoch of the store that the sender knows of, in which it was stated;
+        0 if the store states none.
     """
 
     held_version: int
@@ -52,6 +54,7 @@
     serving: bool
     confirmed_revision: int = 0
     confirmed_age_ms: int | None = None
+    store_epoch: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -143,6 +143,7 @@
         distribution.serving,
         distribution.confirmation.revision,
         distribution.confirmation.confirmed_ms,
+        distribution.store_epoch,
     )
 
 
--- a/packages/core/tests/documents/test_region_start.py
+++ b/packages/core/tests/documents/test_region_start.py
@@ -11,7 +11,12 @@
 from dataclasses import dataclass, field
 
 from bamboonotch_core.distribution import MembershipView, Neighbour
-from bamboonotch_core.documents import DocumentState, make_document_state, reduce_documents
+from bamboonotch_core.documents import (
+    WATCH_DOCUMENT,
+    DocumentState,
+    make_document_state,
+    reduce_documents,
+)
 from bamboonotch_core.effects import SendMessage, WatchDocument
 from bamboonotch_core.events import (
     DocumentRead,
@@ -20,6 +25,8 @@
     LinkOpened,
     MessageReceived,
     PeerIdentity,
+    StoreOperation,
+    StoreReadFailed,
     Tick,
 )
 from bamboonotch_core.messages import Heartbeat
@@ -63,6 +70,7 @@
         self.calls = 0
         self.version = VERSION
         self.revision = 100
+        self.epoch = 1
         self.silent_readers = False
         self._documents_per_s = documents_per_s
         self._messages: list[tuple[float, int, Event]] = []
@@ -83,7 +91,7 @@
                 ended = node.watch_end_ms is not None and self.now_ms >= node.watch_end_ms
                 if ended and not self._is_silenced(number):
                     node.watch_end_ms = None
-                    self._reduce(number, DocumentUnchanged(self.now_ms, self.revision))
+                    self._reduce(number, DocumentUnchanged(self.now_ms, self.revision, self.epoch))
                 if self.now_ms % 100.0 < STEP_MS:
                     self._reduce(number, Tick(self.now_ms))
                 if self.now_ms % HEARTBEAT_MS < STEP_MS:
@@ -98,6 +106,16 @@
                 node.watch_end_ms = None
                 node.transfer = 1.0
 
+    def restore(self) -> None:
+        """Let the store come back from a copy, which cuts every watch."""
+        self.epoch += 1
+        self.revision -= 5
+        for number, node in enumerate(self.nodes):
+            if node.watch_end_ms is not None:
+                node.watch_end_ms = None
+                operation = StoreOperation(WATCH_DOCUMENT)
+                self._reduce(number, StoreReadFailed(self.now_ms, operation, "reset"))
+
     def held(self) -> list[int]:
         """Return the versions that the nodes hold."""
         return [node.state.held_version for node in self.nodes]
@@ -129,7 +147,9 @@
         confirmed_ms = confirmation.confirmed_ms
         age_ms = None if confirmed_ms is None else round(self.now_ms - confirmed_ms)
         version = node.state.held_version
-        heartbeat = Heartbeat(version, version, 0, True, confirmation.revision, age_ms)
+        heartbeat = Heartbeat(
+            version, version, 0, True, confirmation.revision, age_ms, node.state.store_epoch
+        )
         for link in node.view.neighbours:
             self._send(number, SendMessage(link.link_id, heartbeat))
 
@@ -153,9 +173,8 @@
             node.transfer -= self._documents_per_s * STEP_MS / 1000.0 / len(active)
             if node.transfer <= 0.0:
                 node.transfer = None
-                read = DocumentRead(
-                    self.now_ms, self.version, make_document(self.version), self.revision
-                )
+                document = make_document(self.version)
+                read = DocumentRead(self.now_ms, self.version, document, self.revision, self.epoch)
                 self._reduce(number, read)
 
     def _reduce(self, number: int, event: Event) -> None:
@@ -211,6 +230,19 @@
         self.assertEqual(set(region.held()), {VERSION + 1})
         self.assertEqual(region.whole_reads, reads)
 
+    def test_restored_store(self) -> None:
+        """Guards against a fleet that reads the store at once when it comes back from a copy."""
+        region = _Region(98, documents_per_s=100.0)
+        region.run_until(10_000.0)
+        reads = region.whole_reads
+        region.restore()
+        region.run_until(14_000.0)
+        self.assertEqual({node.state.store_epoch for node in region.nodes}, {2})
+        self.assertLessEqual(region.whole_reads - reads, 4)
+        region.write()
+        region.run_until(16_000.0)
+        self.assertEqual(set(region.held()), {VERSION + 1})
+
     def test_readers_that_fall_silent_are_replaced(self) -> None:
         """Guards against nodes that wait for readers whose connections went silent."""
         region = _Region(98, documents_per_s=100.0)
--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -69,6 +69,7 @@
             lambda announcement: dispatch(DepartureRecalled(now_ms(), announcement)),
         )
         self._tasks = StoreTasks(report)
+        self._watching: asyncio.Future[None] | None = None
 
     async def __aenter__(self) -> DocumentDriver:
         return self
@@ -93,7 +94,10 @@
         }
 
     def _watch_document(self, effect: WatchDocument) -> None:
-        self._tasks.start(self._answer(StoreOperation(WATCH_DOCUMENT), self._watch(effect)))
+        if self._watching is not None:
+            self._watching.cancel()
+        answer = self._answer(StoreOperation(WATCH_DOCUMENT), self._watch(effect))
+        self._watching = self._tasks.start(answer)
 
     def _read_slots(self, effect: ReadSlots) -> None:
         del effect
@@ -121,9 +125,11 @@
         except StoreValueError as error:
             # A later write replaces the faulty value, so the watch goes on from the start.
             return DocumentRefused(now_ms(), str(error), 0)
+        # A watch from one epoch into the next says nothing of the changes in between.
+        revision = 0 if effect.revision and found.epoch != effect.epoch else found.revision
         if found.document is None:
-            return DocumentUnchanged(now_ms(), found.revision, found.epoch)
-        return DocumentRead(now_ms(), found.version, found.document, found.revision, found.epoch)
+            return DocumentUnchanged(now_ms(), revision, found.epoch)
+        return DocumentRead(now_ms(), found.version, found.document, revision, found.epoch)
 
     async def _read_members(self) -> Event:
         listing = await read_registered(self._store)
--- a/packages/node/src/bamboonotch_node/runtime/_store_tasks.py
+++ b/packages/node/src/bamboonotch_node/runtime/_store_tasks.py
@@ -23,14 +23,17 @@
         self._report = report
         self._tasks: set[asyncio.Future[None]] = set()
 
-    def start(self, work: Coroutine[Deferred[Any], Any, None]) -> None:
-        """Run a call in the background.
+    def start(self, work: Coroutine[Deferred[Any], Any, None]) -> asyncio.Future[None]:
+        """Run a call in the background, and return it, to be cancelled.
 
         :param work: the call.
         """
-        task = Deferred.fromCoroutine(work).asFuture(asyncio.get_running_loop())
+        task: asyncio.Future[None] = Deferred.fromCoroutine(work).asFuture(
+            asyncio.get_running_loop()
+        )
         self._tasks.add(task)
         task.add_done_callback(self._finish)
+        return task
 
     def cancel(self) -> None:
         """Cancel every call in progress."""
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -80,6 +80,7 @@
             serving=message.serving,
             confirmed_revision=message.confirmed_revision,
             confirmed_age_ms=message.confirmed_age_ms,
+            store_epoch=message.store_epoch,
         )
     )
 
@@ -218,6 +219,7 @@
         body.serving,
         body.confirmed_revision,
         body.confirmed_age_ms if body.HasField("confirmed_age_ms") else None,
+        body.store_epoch,
     )
 
 
--- a/packages/wire/tests/test_control.py
+++ b/packages/wire/tests/test_control.py
@@ -50,6 +50,7 @@
 
 MESSAGES: tuple[Message, ...] = (
     Heartbeat(5, 4, 2**64 - 1, True),
+    Heartbeat(5, 4, 2**64 - 1, True, 2**63, 1200, 2**63),
     VersionPush(5, b"entry"),
     VersionAnnounce(5),
     VersionRequest(4),
