Register again when the store was restored

What callers saw: nodes that others could not find, and a departure that was forgotten, after the store had come back from a copy. An entry lost in the restore stayed away until the next renewal of its lease, a third of its lifetime; where the id of the lease had been given to another node, each renewal renewed that one, and the entry did not come back. A departure written before the restore was believed kept, and one written right after it went under the lease of another node.

Cause: a lease id and an acknowledged write were taken to hold in every history of the store. Fix: a lease carries the epoch that created it, and each renewal and write returns the epoch that answered. When the two differ, or a newer epoch is known from a read or from a peer, the lease is given up and the node registers anew, with its departure, at a random time within 1 s, so that a fleet spreads its two writes a node. A lease of an earlier epoch is neither renewed nor ended. The epoch that the registration sees first goes to the document reducer as an event, and the reducer tells the registration of one that it learns of.

Not mended: a node that ends before it has learned of the restore may end the lease of another node, which notices at its next renewal.

--- a/packages/core/src/bamboonotch_core/documents/_epochs.py
+++ b/packages/core/src/bamboonotch_core/documents/_epochs.py
@@ -9,6 +9,7 @@
 
 from bamboonotch_core.documents._state import Confirmation, DocumentReading
 from bamboonotch_core.documents._step import Step
+from bamboonotch_core.effects import RegisterAgain
 
 __all__ = ["note_store_epoch"]
 
@@ -31,6 +32,7 @@
         step.update(confirmation=Confirmation(), restored_ms=step.now_ms)
     # A watch in progress waits after a revision of the former epoch.
     step.update(reading=DocumentReading())
+    step.effects.append(RegisterAgain(epoch))
 
 
 def _report_restore(step: Step, before: int, revision: int, node_id: str) -> None:
--- a/packages/core/src/bamboonotch_core/documents/_reducer.py
+++ b/packages/core/src/bamboonotch_core/documents/_reducer.py
@@ -10,6 +10,7 @@
 
 from bamboonotch_core.configuration import Document, parse_configuration
 from bamboonotch_core.distribution import MembershipView, Neighbour
+from bamboonotch_core.documents._epochs import note_store_epoch
 from bamboonotch_core.documents._peers import (
     announce_held_version,
     answer_request,
@@ -36,6 +37,7 @@
     LinkClosed,
     LinkOpened,
     MessageReceived,
+    StoreEpochSeen,
     StoreReadFailed,
 )
 from bamboonotch_core.messages import (
@@ -96,6 +98,11 @@
     note_store_answer(step, event.revision, event.epoch)
 
 
+@_handle.register
+def _(event: StoreEpochSeen, step: Step) -> None:
+    note_store_epoch(step, event.epoch, 0, "")
+
+
 @_handle.register
 def _(event: StoreReadFailed, step: Step) -> None:
     if event.operation.name == WATCH_DOCUMENT:
--- a/packages/core/src/bamboonotch_core/effects.py
+++ b/packages/core/src/bamboonotch_core/effects.py
@@ -15,6 +15,7 @@
     "OpenLink",
     "ReadNewest",
     "ReadSlots",
+    "RegisterAgain",
     "Report",
     "SendMessage",
     "StopCompeting",
@@ -140,6 +141,16 @@
     announcement: BackendServerAnnounced
 
 
+@dataclass(frozen=True)
+class RegisterAgain(Effect):
+    """Write the entry by which others find this node again; the store may have lost it.
+
+    :param epoch: epoch of the store that was restored from a copy.
+    """
+
+    epoch: int
+
+
 @dataclass(frozen=True)
 class Report(Effect):
     """Record one event in the log, the explain buffer and the metrics.
--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -29,6 +29,7 @@
     "SlotObtained",
     "SlotsRead",
     "StoreEntryRead",
+    "StoreEpochSeen",
     "StoreNewestRead",
     "StoreOperation",
     "StoreReadFailed",
@@ -203,6 +204,16 @@
     epoch: int = 0
 
 
+@dataclass(frozen=True)
+class StoreEpochSeen(Event):
+    """A call of the store that reads no document was answered in a newer epoch than the last.
+
+    :param epoch: the epoch.
+    """
+
+    epoch: int
+
+
 @dataclass(frozen=True)
 class StoreReadFailed(Event):
     """A store read got no answer.
--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -11,7 +11,14 @@
 from twisted.internet.defer import Deferred
 
 from bamboonotch_core.documents import WATCH_DOCUMENT
-from bamboonotch_core.effects import CompeteForSlot, KeepDeparture, ReadSlots, Report, WatchDocument
+from bamboonotch_core.effects import (
+    CompeteForSlot,
+    KeepDeparture,
+    ReadSlots,
+    RegisterAgain,
+    Report,
+    WatchDocument,
+)
 from bamboonotch_core.errors import BamboonotchError, StoreError, StoreValueError
 from bamboonotch_core.events import (
     DepartureRecalled,
@@ -20,6 +27,7 @@
     DocumentUnchanged,
     Event,
     SlotsRead,
+    StoreEpochSeen,
     StoreOperation,
     StoreReadFailed,
 )
@@ -67,6 +75,7 @@
             random,
             report,
             lambda announcement: dispatch(DepartureRecalled(now_ms(), announcement)),
+            lambda epoch: dispatch(StoreEpochSeen(now_ms(), epoch)),
         )
         self._tasks = StoreTasks(report)
         self._watching: asyncio.Future[None] | None = None
@@ -91,6 +100,7 @@
             ReadSlots: self._read_slots,
             CompeteForSlot: self._register,
             KeepDeparture: self._keep_departure,
+            RegisterAgain: self._register_again,
         }
 
     def _watch_document(self, effect: WatchDocument) -> None:
@@ -110,6 +120,9 @@
     def _keep_departure(self, effect: KeepDeparture) -> None:
         self._registration.keep_departure(effect.announcement)
 
+    def _register_again(self, effect: RegisterAgain) -> None:
+        self._registration.note_epoch(effect.epoch)
+
     async def _answer(
         self, operation: StoreOperation, work: Coroutine[Deferred[Any], Any, Event]
     ) -> None:
--- a/packages/store/src/bamboonotch_store/errors.py
+++ b/packages/store/src/bamboonotch_store/errors.py
@@ -9,6 +9,7 @@
     "LeaseEndedError",
     "SessionInvalidError",
     "StoreRefusedError",
+    "StoreRestoredError",
     "VersionAbsentError",
 ]
 
@@ -31,3 +32,7 @@
 
 class LeaseEndedError(StoreError):
     """The lease of a call does not exist, or has ended."""
+
+
+class StoreRestoredError(StoreError):
+    """The store was restored from a copy, so that a lease of before is not this process's."""
--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -18,7 +18,7 @@
 from bamboonotch_core.errors import StoreError
 from bamboonotch_core.events import BackendServerAnnounced, SlotHolder
 from bamboonotch_core.settings import IdentitySettings
-from bamboonotch_store.errors import LeaseEndedError
+from bamboonotch_store.errors import LeaseEndedError, StoreRestoredError
 from bamboonotch_store.shared import Lease, SharedEntry, SharedStore
 
 __all__ = ["MEMBER_PREFIX", "MemberListing", "Registration", "read_registered"]
@@ -39,6 +39,8 @@
 # would otherwise return to the store at once.
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 1.0
+# Time over which the nodes of a fleet register again when the store was restored from a copy.
+REGISTER_AGAIN_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -103,7 +105,7 @@
 
 
 class Registration:
-    """Keeps this node's entry alive, through outages of the store and lapses of the lease.
+    """Keeps this node's entry alive, through outages and restores of the store and lost leases.
 
     :param store: the store.
     :param identity: section ``[node]`` of the settings.
@@ -112,6 +114,7 @@
     :param random: source of jitter.
     :param report: takes reports.
     :param recalled: takes the departure that an earlier process of this node had kept.
+    :param epoch_seen: takes the epoch of the store when an answer states a newer one.
     """
 
     def __init__(
@@ -123,6 +126,7 @@
         random: Random,
         report: Callable[[Report], None],
         recalled: Callable[[BackendServerAnnounced], None],
+        epoch_seen: Callable[[int], None] = lambda epoch: None,
     ) -> None:
         self._store = store
         self._identity = identity
@@ -134,6 +138,9 @@
         self._loop: Deferred[None] | None = None
         self._failures = 0
         self._recalled = recalled
+        self._epoch_seen = epoch_seen
+        self._epoch = 0
+        self._timer: Any = None
         self._is_entry_read = False
         self._departure: BackendServerAnnounced | None = None
         self._is_entry_current = False
@@ -151,17 +158,27 @@
         """
         self._departure = announcement
         self._is_entry_current = False
-        if self._lease is not None:
+        if self._lease is not None and self._is_current(self._lease):
             writing = Deferred.fromCoroutine(self._write_entry(self._lease))
             writing.addErrback(self._write_failed)
 
+    def note_epoch(self, epoch: int) -> None:
+        """Register again if the store was restored since the lease was created.
+
+        :param epoch: newest epoch of the store that is known.
+        """
+        self._epoch = max(self._epoch, epoch)
+        if self._lease is not None and not self._is_current(self._lease):
+            self._wake()
+
     async def stop(self) -> None:
         """Give the entry up, unless the next process needs it; it then ends with its lease."""
         if self._loop is not None:
             self._loop.cancel()
             self._loop = None
         lease, self._lease = self._lease, None
-        if lease is not None and self._departure is None:
+        # The id of a lease of an earlier epoch may belong to another node now.
+        if lease is not None and self._departure is None and self._is_current(lease):
             await self._store.end_lease(lease)
 
     def _stopped(self, failure: Any) -> None:
@@ -173,6 +190,9 @@
             try:
                 wait_s = await self._renew()
                 self._failures = 0
+            except StoreRestoredError:
+                self._lease = None
+                wait_s = self._random.random() * REGISTER_AGAIN_S
             except LeaseEndedError:
                 self._report(Report("registration-lapsed"))
                 self._lease = None
@@ -182,20 +202,41 @@
             await self._sleep(wait_s)
 
     async def _renew(self) -> float:
-        """Register or renew, and return the wait until the next renewal, in seconds."""
+        """Register or renew, and return the wait until the next renewal, in seconds.
+
+        :raises StoreRestoredError: when the store was restored since the lease was created.
+        """
         if not self._is_entry_read:
             await self._read_own_entry()
         if self._lease is None:
             lease = await self._store.create_lease(self._lease_ms)
+            self._take_epoch(lease.epoch)
             await self._write_entry(lease)
             self._lease = lease
-            self._report(Report("registered", (("lifetime_ms", lease.lifetime_ms),)))
+            fields = (("lifetime_ms", lease.lifetime_ms), ("epoch", lease.epoch))
+            self._report(Report("registered", fields))
         else:
-            await self._store.renew_lease(self._lease)
+            self._check_epoch(self._lease, self._lease.epoch)
+            self._check_epoch(self._lease, await self._store.renew_lease(self._lease))
             if not self._is_entry_current:
                 await self._write_entry(self._lease)
         return self._lease.lifetime_ms / 1000 / RENEWALS_PER_LEASE
 
+    def _take_epoch(self, epoch: int) -> None:
+        """Take note of the epoch that an answer states."""
+        if epoch > self._epoch:
+            self.note_epoch(epoch)
+            self._epoch_seen(epoch)
+
+    def _check_epoch(self, lease: Lease, epoch: int) -> None:
+        """Raise ``StoreRestoredError`` unless a call of an epoch has reached the lease's own."""
+        self._take_epoch(epoch)
+        if epoch != lease.epoch or not self._is_current(lease):
+            raise StoreRestoredError(f"lease of epoch {lease.epoch}, answer of epoch {epoch}")
+
+    def _is_current(self, lease: Lease) -> bool:
+        return lease.epoch >= self._epoch
+
     async def _read_own_entry(self) -> None:
         """Recall a departure from the entry of an earlier process, before it is overwritten."""
         for entry in await self._store.read_entries(self._key()):
@@ -207,7 +248,8 @@
 
     async def _write_entry(self, lease: Lease) -> None:
         departure = self._departure
-        await self._store.write_entry(self._key(), self._value(), lease)
+        epoch = await self._store.write_entry(self._key(), self._value(), lease)
+        self._check_epoch(lease, epoch)
         self._is_entry_current = departure is self._departure
 
     def _write_failed(self, failure: Any) -> None:
@@ -235,6 +277,11 @@
             value["departure"] = _encode_departure(self._departure)
         return json.dumps(value).encode()
 
+    def _wake(self) -> None:
+        """End the wait until the next renewal."""
+        if self._timer is not None and self._timer.active():
+            self._timer.reset(0)
+
     def _sleep(self, wait_s: float) -> Deferred[None]:
         timer: Any = None
 
@@ -243,5 +290,5 @@
                 timer.cancel()
 
         done: Deferred[None] = Deferred(cancel)
-        timer = self._reactor.callLater(wait_s, done.callback, None)
+        self._timer = timer = self._reactor.callLater(wait_s, done.callback, None)
         return done
--- a/packages/store/src/bamboonotch_store/shared.py
+++ b/packages/store/src/bamboonotch_store/shared.py
@@ -60,10 +60,12 @@
 
     :param lease_id: its id.
     :param lifetime_ms: how long it lasts without renewal, in milliseconds.
+    :param epoch: epoch of the store that created it; the id may name another lease in a later one.
     """
 
     lease_id: int
     lifetime_ms: float
+    epoch: int = 0
 
 
 class SharedStore(Protocol):
@@ -88,10 +90,11 @@
         :param lifetime_ms: lifetime without renewal, in milliseconds.
         """
 
-    def renew_lease(self, lease: Lease) -> Deferred[None]:
+    def renew_lease(self, lease: Lease) -> Deferred[int]:
         """Restart the lifetime of a lease.
 
         :param lease: the lease.
+        :returns: epoch of the store that renewed it.
         """
 
     def end_lease(self, lease: Lease) -> Deferred[None]:
@@ -100,12 +103,13 @@
         :param lease: the lease.
         """
 
-    def write_entry(self, key: str, value: bytes, lease: Lease) -> Deferred[None]:
+    def write_entry(self, key: str, value: bytes, lease: Lease) -> Deferred[int]:
         """Write an entry that lasts as long as a lease.
 
         :param key: the key.
         :param value: the value.
         :param lease: the lease.
+        :returns: epoch of the store that wrote it.
         """
 
     def close(self) -> Deferred[None]:
