--- a/packages/core/src/bamboonotch_core/documents/_reducer.py
+++ b/packages/core/src/bamboonotch_core/documents/_reducer.py
@@ -10,6 +10,7 @@
 
 from bamboonotch_core.configuration import Document, parse_configuration
 from bamboonotch_core.distribution import MembershipView, Neighbour
+from bamboonotch_core.documents._epochs import note_store_epoch
 from bamboonotch_core.documents._peers import (
     announce_held_version,
     answer_request,
@@ -36,6 +37,7 @@
     LinkClosed,
     LinkOpened,
     MessageReceived,
+    StoreEpochSeen,
     StoreReadFailed,
 )
 from bamboonotch_core.messages import (
@@ -79,7 +81,7 @@
 
 @_handle.register
 def _(event: DocumentRead, step: Step) -> None:
-    note_store_answer(step, event.revision)
+    note_store_answer(step, event.revision, event.epoch)
     if event.version > step.state.held_version:
         _accept_document(step, event.version, event.document)
         delay_read_in_burst(step)
@@ -87,13 +89,18 @@
 
 @_handle.register
 def _(event: DocumentRefused, step: Step) -> None:
-    note_store_answer(step, event.revision)
+    note_store_answer(step, event.revision, event.epoch)
     step.report("version-refused", source="store", reason=event.reason)
 
 
 @_handle.register
 def _(event: DocumentUnchanged, step: Step) -> None:
-    note_store_answer(step, event.revision)
+    note_store_answer(step, event.revision, event.epoch)
+
+
+@_handle.register
+def _(event: StoreEpochSeen, step: Step) -> None:
+    note_store_epoch(step, event.epoch, 0, "")
 
 
 @_handle.register
@@ -105,7 +112,7 @@
 @_handle.register
 def _(event: LinkOpened, step: Step) -> None:
     if event.link_id in step.links and step.state.held_version:
-        step.send(event.link_id, VersionAnnounce(step.state.held_version))
+        step.send(event.link_id, VersionAnnounce(step.state.held_version, step.state.store_epoch))
 
 
 @_handle.register
@@ -129,11 +136,12 @@
 @_receive.register
 def _(message: Heartbeat, step: Step, peer: Neighbour) -> None:
     note_peer_version(step, peer, message.held_version)
-    take_confirmation(step, message)
+    take_confirmation(step, peer, message)
 
 
 @_receive.register
 def _(message: VersionAnnounce, step: Step, peer: Neighbour) -> None:
+    note_store_epoch(step, message.store_epoch, 0, peer.node_id)
     note_peer_version(step, peer, message.version)
 
 
--- a/packages/core/src/bamboonotch_core/effects.py
+++ b/packages/core/src/bamboonotch_core/effects.py
@@ -15,6 +15,7 @@
     "OpenLink",
     "ReadNewest",
     "ReadSlots",
+    "RegisterAgain",
     "Report",
     "SendMessage",
     "StopCompeting",
@@ -89,12 +90,16 @@
     Answered by ``DocumentRead``, ``DocumentRefused``, ``DocumentUnchanged`` or
     ``StoreReadFailed``.
 
+    A later effect replaces one that is not yet answered.
+
     :param revision: revision of the source to wait after; 0 reads at once.
     :param wait_ms: longest wait, in milliseconds.
+    :param epoch: epoch of the source in which it had that revision.
     """
 
     revision: int
     wait_ms: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
@@ -136,6 +141,16 @@
     announcement: BackendServerAnnounced
 
 
+@dataclass(frozen=True)
+class RegisterAgain(Effect):
+    """Write the entry by which others find this node again, unless its lease is of this epoch.
+
+    :param epoch: newest epoch of the store.
+    """
+
+    epoch: int
+
+
 @dataclass(frozen=True)
 class Report(Effect):
     """Record one event in the log, the explain buffer and the metrics.
--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -29,6 +29,7 @@
     "SlotObtained",
     "SlotsRead",
     "StoreEntryRead",
+    "StoreEpochSeen",
     "StoreNewestRead",
     "StoreOperation",
     "StoreReadFailed",
@@ -167,12 +168,14 @@
 
     :param version: its version.
     :param document: the document.
-    :param revision: revision of the source to wait after.
+    :param revision: revision of the source to wait after; 0 if that is not known.
+    :param epoch: epoch of the source; 0 if it states none.
     """
 
     version: int
     document: Document
     revision: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
@@ -180,21 +183,35 @@
     """What the source holds cannot be read as a document.
 
     :param reason: why, for the log.
-    :param revision: revision of the source to wait after.
+    :param revision: revision of the source to wait after; 0 if that is not known.
+    :param epoch: epoch of the source; 0 if it states none.
     """
 
     reason: str
     revision: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
 class DocumentUnchanged(Event):
     """A read or watch ended without a document.
 
-    :param revision: revision of the source to wait after.
+    :param revision: revision of the source to wait after; 0 if that is not known.
+    :param epoch: epoch of the source; 0 if it states none.
     """
 
     revision: int
+    epoch: int = 0
+
+
+@dataclass(frozen=True)
+class StoreEpochSeen(Event):
+    """A call of the store that reads no document was answered in a newer epoch than the last.
+
+    :param epoch: the epoch.
+    """
+
+    epoch: int
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -144,6 +144,7 @@
         distribution.serving,
         distribution.confirmation.revision,
         distribution.confirmation.confirmed_ms,
+        distribution.store_epoch,
     )
 
 
--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -12,7 +12,14 @@
 from twisted.internet.defer import Deferred
 
 from bamboonotch_core.documents import WATCH_DOCUMENT
-from bamboonotch_core.effects import CompeteForSlot, KeepDeparture, ReadSlots, Report, WatchDocument
+from bamboonotch_core.effects import (
+    CompeteForSlot,
+    KeepDeparture,
+    ReadSlots,
+    RegisterAgain,
+    Report,
+    WatchDocument,
+)
 from bamboonotch_core.errors import BamboonotchError, StoreError, StoreValueError
 from bamboonotch_core.events import (
     BackendServerAnnounced,
@@ -22,6 +29,7 @@
     DocumentUnchanged,
     Event,
     SlotsRead,
+    StoreEpochSeen,
     StoreOperation,
     StoreReadFailed,
 )
@@ -69,8 +77,10 @@
             random,
             report,
             self._recall_departure,
+            lambda epoch: dispatch(StoreEpochSeen(now_ms(), epoch)),
         )
         self._tasks = StoreTasks(report)
+        self._watching: asyncio.Future[None] | None = None
 
     async def __aenter__(self) -> DocumentDriver:
         return self
@@ -92,10 +102,14 @@
             ReadSlots: self._read_slots,
             CompeteForSlot: self._register,
             KeepDeparture: self._keep_departure,
+            RegisterAgain: self._register_again,
         }
 
     def _watch_document(self, effect: WatchDocument) -> None:
-        self._tasks.start(self._answer(StoreOperation(WATCH_DOCUMENT), self._watch(effect)))
+        if self._watching is not None:
+            self._watching.cancel()
+        answer = self._answer(StoreOperation(WATCH_DOCUMENT), self._watch(effect))
+        self._watching = self._tasks.start(answer)
 
     def _read_slots(self, effect: ReadSlots) -> None:
         del effect
@@ -112,6 +126,9 @@
         recalled = replace(announcement, heard_unix_ms=unix_ms())
         self._dispatch(DepartureRecalled(now_ms(), recalled))
 
+    def _register_again(self, effect: RegisterAgain) -> None:
+        self._registration.note_epoch(effect.epoch)
+
     async def _answer(
         self, operation: StoreOperation, work: Coroutine[Deferred[Any], Any, Event]
     ) -> None:
@@ -127,9 +144,11 @@
         except StoreValueError as error:
             # A later write replaces the faulty value, so the watch goes on from the start.
             return DocumentRefused(now_ms(), str(error), 0)
+        # A watch from one epoch into the next says nothing of the changes in between.
+        revision = 0 if effect.revision and found.epoch != effect.epoch else found.revision
         if found.document is None:
-            return DocumentUnchanged(now_ms(), found.revision)
-        return DocumentRead(now_ms(), found.version, found.document, found.revision)
+            return DocumentUnchanged(now_ms(), revision, found.epoch)
+        return DocumentRead(now_ms(), found.version, found.document, revision, found.epoch)
 
     async def _read_members(self) -> Event:
         listing = await read_registered(self._store)
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -99,6 +99,7 @@
             serving=message.serving,
             confirmed_revision=message.confirmed_revision,
             confirmed_age_ms=message.confirmed_age_ms,
+            store_epoch=message.store_epoch,
         )
     )
 
@@ -112,7 +113,11 @@
 
 @encode_message.register
 def _(message: VersionAnnounce) -> pb.ControlFrame:
-    return pb.ControlFrame(version_announce=pb.VersionAnnounce(version=message.version))
+    return pb.ControlFrame(
+        version_announce=pb.VersionAnnounce(
+            version=message.version, store_epoch=message.store_epoch
+        )
+    )
 
 
 @encode_message.register
@@ -238,6 +243,7 @@
         body.serving,
         body.confirmed_revision,
         body.confirmed_age_ms if body.HasField("confirmed_age_ms") else None,
+        body.store_epoch,
     )
 
 
@@ -246,7 +252,7 @@
 
 
 def _decode_version_announce(body: Any) -> Message:
-    return VersionAnnounce(body.version)
+    return VersionAnnounce(body.version, body.store_epoch)
 
 
 def _decode_version_request(body: Any) -> Message:
