Leave the link to downloads that can still be in time

Cause: an owner took a download when its response could leave within the target, without the time of its backend server, and took one that was refused before on the same terms. Under overload the repeated ones, which are late already, filled the links, and those that came first were refused and became late in turn.

The time of the backend server now counts (half of the target stays for the link at least), and a request whose caller was refused is taken only while the link has half of that left, as repeated requests go last in the queues for slots.

Tests: two in tests/admission/test_uplink.py, both failed before.

--- a/packages/core/src/bamboonotch_core/admission/_uplink.py
+++ b/packages/core/src/bamboonotch_core/admission/_uplink.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bamboonotch_core.admission._limit import service_ms
 from bamboonotch_core.admission._state import AdmissionState, LiveAttempt
 from bamboonotch_core.configuration import RequestClass
 from bamboonotch_core.replace import replace_fields
@@ -10,6 +11,11 @@
 __all__ = ["can_send_in_time", "record_send_time"]
 
 SEND_TIME_SMOOTHING = 0.05
+# Time for the link that even a class with a slow backend server has, as a share of its target.
+MIN_LINK_TARGET_SHARE = 0.5
+# A caller that was refused before is late already. It gets what the link has left when nobody else
+# needs it, and does not take the place of one that can still be in time.
+RETURNING_TARGET_SHARE = 0.5
 
 
 def record_send_time(
@@ -47,5 +53,11 @@
         for attempt in state.live.values()
         if attempt.uses_uplink
     )
+    limit_ms = max(
+        MIN_LINK_TARGET_SHARE * request_class.target_ms,
+        request_class.target_ms - service_ms(state.limit, event.request_class),
+    )
+    if event.returning:
+        limit_ms *= RETURNING_TARGET_SHARE
     # An arrival that finds the link free is taken, however long its response is.
-    return not ahead_ms or ahead_ms + own_ms <= request_class.target_ms
+    return not ahead_ms or ahead_ms + own_ms <= limit_ms
--- a/packages/core/tests/admission/test_uplink.py
+++ b/packages/core/tests/admission/test_uplink.py
@@ -43,7 +43,7 @@
         self.state = step.state
         return step.effects
 
-    def offer(self, name: str, uplink_ms: float | None) -> str:
+    def offer(self, name: str, uplink_ms: float | None, returning: bool = False) -> str:
         """Offer an attempt, and return why it is refused, or an empty text."""
         self.number += 1
         self.latest = make_attempt_id(f"r{self.number}", "tag", self.number, 5)
@@ -58,6 +58,7 @@
                 deadline_ms,
                 True,
                 "",
+                returning,
                 uplink_ms=uplink_ms,
             )
         )
@@ -66,10 +67,10 @@
                 return effect.reason
         return ""
 
-    def end_latest(self, send_ms: float) -> tuple[Effect, ...]:
+    def end_latest(self, send_ms: float, latency_ms: float = 30.0) -> tuple[Effect, ...]:
         """End the latest attempt."""
         result = BackendResult.DONE
-        return self.send(BackendFinished(1.0, self.latest, result, 30.0, send_ms=send_ms))
+        return self.send(BackendFinished(1.0, self.latest, result, latency_ms, send_ms=send_ms))
 
     def test_download_behind_a_full_link_is_refused_at_once(self) -> None:
         """Guards against downloads that are run although the link cannot send them in time."""
@@ -77,6 +78,24 @@
         self.end_latest(SEND_MS)
         self.assertEqual(self.offer("download", 760.0), RefusalReason.UPLINK_FULL)
 
+    def test_response_of_a_slow_server_is_late(self) -> None:
+        """Guards against downloads that are in time for the link but not for their callers."""
+        for _ in range(100):
+            self.offer("download", 0.0)
+            self.end_latest(SEND_MS, latency_ms=400.0)
+        self.assertEqual(self.offer("download", 400.0), RefusalReason.UPLINK_FULL)
+        for _ in range(100):
+            self.offer("download", 0.0)
+            self.end_latest(SEND_MS, latency_ms=2000.0)
+        self.assertEqual(self.offer("download", 200.0), "")
+
+    def test_returning_download_leaves_the_link_to_first_ones(self) -> None:
+        """Guards against downloads that are all late, because repeated ones go first."""
+        self.assertEqual(self.offer("download", 300.0, returning=True), RefusalReason.UPLINK_FULL)
+        self.assertEqual(self.offer("download", 300.0), "")
+        self.end_latest(SEND_MS)
+        self.assertEqual(self.offer("download", 200.0, returning=True), "")
+
     def test_downloads_in_progress_count(self) -> None:
         """Guards against a burst of downloads that all find the link free when they arrive."""
         taken = [self.offer("download", 0.0) for _ in range(8)].count("")
