Count the time that a request body takes against its deadline

Found by review: an owner added the time that the head of an attempt states to the clock at which the last chunk of its body came. A body over 16 KB now waits behind downloads on the ingress's link, so a backend server could be handed seconds more than its caller had left. The line is old, the wait is new.

The deadline is now taken when the head is read.

--- a/packages/node/src/bamboonotch_node/forwarding/_server.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_server.py
@@ -147,10 +147,12 @@
     """An attempt whose body is still arriving.
 
     :param head: its head.
+    :param deadline_ms: when the caller stops waiting, on this node's monotonic clock.
     """
 
-    def __init__(self, head: pb.RequestHead) -> None:
+    def __init__(self, head: pb.RequestHead, deadline_ms: float) -> None:
         self.head = head
+        self.deadline_ms = deadline_ms
         self.pieces = [head.body]
         self.size_bytes = len(head.body)
 
@@ -218,11 +220,11 @@
         if len(self._server.owner) >= self._server.max_attempts:
             self._refuse(attempt_id, "too-many-attempts")
         elif head.last:
-            self._offer(head, head.body)
+            self._offer(head, head.body, self._deadline_ms(head))
         elif not self._server.reserve_body_bytes(len(head.body)):
             self._refuse(attempt_id, "body-memory-exhausted")
         else:
-            self._partial[attempt_id] = _PartialRequest(head)
+            self._partial[attempt_id] = _PartialRequest(head, self._deadline_ms(head))
             self._return_credit(attempt_id, len(head.body))
 
     def _body_chunk(self, chunk: pb.BodyChunk) -> None:
@@ -245,7 +247,7 @@
             self._drop_partial(attempt_id)
         elif chunk.last:
             self._drop_partial(attempt_id)
-            self._offer(partial.head, b"".join(partial.pieces))
+            self._offer(partial.head, b"".join(partial.pieces), partial.deadline_ms)
         else:
             self._return_credit(attempt_id, size_bytes)
 
@@ -270,7 +272,12 @@
         )
         self.frames.send(pb.ForwardFrame(refusal=refusal))
 
-    def _offer(self, head: pb.RequestHead, body: bytes) -> None:
+    def _deadline_ms(self, head: pb.RequestHead) -> float:
+        """Return the deadline of an attempt whose head has just been read."""
+        # What is left was stated before the frame waited to be read.
+        return self._server.clock() + head.remaining_ms - self._server.unread_ms()
+
+    def _offer(self, head: pb.RequestHead, body: bytes, deadline_ms: float) -> None:
         try:
             request = decode_request(head, body, self._server.request_settings())
         except MessageError as error:
@@ -280,8 +287,7 @@
             attempt_id=head.attempt_id,
             service=head.service,
             request_class=head.request_class,
-            # What is left was stated before the frame waited to be read.
-            deadline_ms=self._server.clock() + head.remaining_ms - self._server.unread_ms(),
+            deadline_ms=deadline_ms,
             idempotent=head.idempotent,
             idempotency_key=head.idempotency_key,
             attempt=head.attempt,
