Count a link without waiting bodies as free, and grant nothing after the close

Found by review: the time for which bodies occupy the link included the debt of small frames. One frame of 15 KB made a link look occupied for 21 ms with no body waiting, and a class whose responses take longer than its target is taken only on a free link. And a body that came after the close started a timer.

Tests: test_no_backlog_without_bodies, test_no_timer_after_close, failed before. The test of discarded bodies asks for exactly 0 again.

--- a/packages/node/src/bamboonotch_node/forwarding/_uplink.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_uplink.py
@@ -66,6 +66,7 @@
         self._waiting: list[tuple[int, float, PacedBody]] = []
         self._last_number = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._is_closed = False
 
     @property
     def is_paced(self) -> bool:
@@ -85,6 +86,8 @@
         if not self.is_paced:
             body.grant()
             return
+        if self._is_closed:
+            return
         heapq.heappush(self._waiting, (body.number, self._get_loop().time(), body))
         if self._timer is None:
             self._grant_due()
@@ -102,8 +105,10 @@
         """Return how long the bodies that wait for a grant occupy the link, in milliseconds."""
         if not self.is_paced:
             return 0.0
-        self._refill()
         waiting_bytes = sum(body.waiting_bytes() for _, _, body in self._waiting)
+        if not waiting_bytes:
+            return 0.0
+        self._refill()
         return max(0.0, (waiting_bytes - self._credit_bytes) / self._bytes_per_s * 1000)
 
     def send_ms(self, size_bytes: int) -> float:
@@ -114,7 +119,8 @@
         return size_bytes / self._bytes_per_s * 1000 if self.is_paced else 0.0
 
     def close(self) -> None:
-        """Cancel the timer; bodies that wait are not granted anything."""
+        """Grant nothing any more."""
+        self._is_closed = True
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/packages/node/tests/forwarding/test_uplink.py
+++ b/packages/node/tests/forwarding/test_uplink.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from bamboonotch_node.forwarding._outbox import CHUNK_BYTES, Outbox, OutgoingBody
+from bamboonotch_node.forwarding._outbox import Outbox, OutgoingBody
 from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
@@ -184,9 +184,26 @@
         owner.loop.run_until(0.05)
         for number in range(len(bodies)):
             owner.bodies[f"download-{number}"].discard()
-        # What was granted before the discards still occupies the link.
-        chunk_ms = owner.uplink.send_ms(CHUNK_BYTES)
-        self.assertLessEqual(owner.uplink.backlog_ms(), chunk_ms)
+        self.assertEqual(owner.uplink.backlog_ms(), 0.0)
+
+    def test_no_backlog_without_bodies(self) -> None:
+        """Guards against a link that counts as occupied although no body waits."""
+        owner = SimulatedOwner(LINK_MBPS)
+        owner.respond("small", 15_000)
+        owner.loop.run_until(0.001)
+        self.assertEqual(owner.uplink.backlog_ms(), 0.0)
+
+    def test_no_timer_after_close(self) -> None:
+        """Guards against a timer that goes on after the uplink was closed."""
+        owner = SimulatedOwner(LINK_MBPS)
+        for number in range(3):
+            owner.respond(f"download-{number}", DOWNLOAD_BYTES)
+        owner.loop.run_until(0.05)
+        owner.uplink.close()
+        for number in range(3):
+            owner.respond(f"late-{number}", DOWNLOAD_BYTES)
+        owner.loop.run_until(0.1)
+        self.assertIsNone(owner.uplink._timer)
 
     def test_unknown_link(self) -> None:
         """Guards against an installation without the setting whose bodies would not leave."""
