Let no long body keep the link until it ends

Found by review: bodies leave oldest first without a bound, so one response of 6 MB, or one without end, kept every later body over 16 KB off the link. A body that has sent 256 KB, as much as is held of a response, now goes behind those that wait; up to that size the order is as before.

Test: test_short_download_beside_a_long_one: a body of 20 KB beside one of 6 MB had not left after 1.3 s before.

--- a/packages/node/src/bamboonotch_node/forwarding/_outbox.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_outbox.py
@@ -21,6 +21,8 @@
 WINDOW_BYTES = 64 * 1024
 # A peer that sends but never reads fills the outbox; beyond this the stream is closed.
 MAX_CONTROL_FRAMES = 20_000
+# A body that has sent this much goes behind those that wait, so that none keeps the link for long.
+MAX_TURN_BYTES = 256 * 1024
 # A source is held up while this much of its body waits in the outbox.
 HIGH_WATER_BYTES = 64 * 1024
 
@@ -43,6 +45,7 @@
         self.queued = False
         self.number = outbox.uplink.next_number()
         self._granted_bytes = 0
+        self._turn_bytes = 0
         self._outbox = outbox
         self._build_head = build_head
         self._pieces: deque[bytes] = deque()
@@ -132,6 +135,10 @@
         if self._closed or not self._outbox.enqueue_granted(self):
             return 0
         self._granted_bytes = min(CHUNK_BYTES, self._credit_bytes, self._size_bytes)
+        self._turn_bytes += self._granted_bytes
+        if self._turn_bytes >= MAX_TURN_BYTES:
+            self._turn_bytes = 0
+            self.number = self._outbox.uplink.next_number()
         return self._granted_bytes
 
     def next_frame(self) -> pb.ForwardFrame:
--- a/packages/node/tests/forwarding/test_uplink.py
+++ b/packages/node/tests/forwarding/test_uplink.py
@@ -186,6 +186,16 @@
             owner.bodies[f"download-{number}"].discard()
         self.assertEqual(owner.uplink.backlog_ms(), 0.0)
 
+    def test_short_download_beside_a_long_one(self) -> None:
+        """Guards against a long response that keeps every later one off the link until it ends."""
+        owner = SimulatedOwner(LINK_MBPS)
+        owner.respond("long", 6_000_000)
+        owner.loop.run_until(0.2)
+        owner.respond("short", 20_000)
+        # Twice what a fair half of the link needs, and a second.
+        owner.loop.run_until(0.2 + 2 * 2 * 20_000 / LINK_BYTES_PER_S + 1.0)
+        self.assertIn("short", owner.ended_s)
+
     def test_no_backlog_without_bodies(self) -> None:
         """Guards against a link that counts as occupied although no body waits."""
         owner = SimulatedOwner(LINK_MBPS)
