Take no revision without an epoch for one of the first epoch heard

Found by review: a node that knew a confirmation from a peer that states no epoch, and then heard of an epoch, counted the confirmed revision as one of that epoch, and could wait after a revision that the source gives out again. The time of the statement still counts; its revision does not.

Test: MixedVersionsTest, failed before (revision 900 under epoch 2).

--- a/packages/core/src/bamboonotch_core/documents/_epochs.py
+++ b/packages/core/src/bamboonotch_core/documents/_epochs.py
@@ -30,6 +30,9 @@
     step.update(store_epoch=epoch)
     step.effects.append(RegisterAgain(epoch))
     if not before:
+        # A revision from a peer that states no epoch may be of an earlier one.
+        confirmation = Confirmation(0, step.state.confirmation.confirmed_ms)
+        step.update(confirmation=confirmation)
         return
     _report_restore(step, before, revision, node_id)
     if step.state.confirmation.confirmed_ms is not None:
--- a/packages/core/tests/documents/test_epochs.py
+++ b/packages/core/tests/documents/test_epochs.py
@@ -37,6 +37,18 @@
         return [item for item in self.step(event) if isinstance(item, WatchDocument)]
 
 
+class MixedVersionsTest(ReaderCase):
+    """A node that has heard of confirmations from a node of the version before."""
+
+    def test_confirmation_without_an_epoch_is_not_of_a_later_one(self) -> None:
+        """Guards against a watch after a revision that no node has seen in this epoch."""
+        self.step(DocumentRead(0.0, 7, make_document(7), 500, 0))
+        self.step(MessageReceived(100.0, "link-1", Heartbeat(7, 7, 0, True, 900, 0, 0)))
+        self.step(MessageReceived(200.0, "link-1", Heartbeat(7, 7, 0, True, 0, None, 2)))
+        self.assertEqual(self.state.store_epoch, 2)
+        self.assertNotEqual(self.state.confirmation.revision, 900)
+
+
 class ReaderTest(RestoreCase):
     """A reader of the source."""
 
