Tell the owner when the rest of a response is given up

Found by review: an ingress that gave a response up after it had asked for the rest said nothing, and an owner that got the request late sent a window and kept the attempt and up to 130 KB until its deadline and 30 s more.

Test: test_owner_hears_that_a_response_was_given_up, which never ended before (its limit is 15 s). test_owner_of_an_older_version allowed hello, resume and ping only. Older owners know a cancellation and send nothing in answer, so one is allowed now, after the last request to resume; both are checked.

--- a/packages/node/src/bamboonotch_node/forwarding/_client.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_client.py
@@ -343,8 +343,13 @@
         if resumption is None:
             return
         self._drop_resumption(attempt_id)
-        self._report_resumption("response-broken-off", resumption.attempt, ("reason", reason))
-        resumption.attempt.finish(False)
+        attempt = resumption.attempt
+        self._report_resumption("response-broken-off", attempt, ("reason", reason))
+        stream = self._pool.find(attempt.effect.owner_id)
+        if resumption.number and stream is not None:
+            # The owner may still get the question, and would keep the rest for nobody.
+            stream.frames.send(pb.ForwardFrame(cancel=pb.Cancel(attempt_id=attempt_id)))
+        attempt.finish(False)
 
     def _drop_resumption(self, attempt_id: str) -> None:
         resumption = self._resumptions.pop(attempt_id, None)
