Let the first responses of a class count evenly in how long they occupy the link

Found by review: the first response was taken whole and faded by a twentieth with each further one, so a class whose first response was long was refused for dozens of responses after it.

Test: test_one_long_response_among_short_ones, failed before.

--- a/packages/core/src/bamboonotch_core/admission/_state.py
+++ b/packages/core/src/bamboonotch_core/admission/_state.py
@@ -19,6 +19,7 @@
     "BackendServer",
     "LiveAttempt",
     "QueueKey",
+    "SendTime",
     "Stage",
     "is_idle",
     "make_admission_state",
@@ -64,6 +65,18 @@
     ramp_start_ms: float
 
 
+@dataclass(frozen=True)
+class SendTime:
+    """How long responses of a class occupy this node's link.
+
+    :param mean_ms: smoothed time, in milliseconds; 0 for a response that leaves at once.
+    :param samples: number of responses so far.
+    """
+
+    mean_ms: float = 0.0
+    samples: int = 0
+
+
 @dataclass(frozen=True)
 class LiveAttempt:
     """An attempt that was admitted and has not ended; times are on the monotonic clock.
@@ -133,8 +146,8 @@
     :param queues: queues that are not empty, by key.
     :param claimed: ids of claimed attempts that wait for a slot, oldest claim first.
     :param limit: adaptive concurrency limit.
-    :param send_times_ms: smoothed time that a response of a class occupies this node's link, by
-        class name; only classes whose responses are paced.
+    :param send_times: how long responses occupy this node's link, by class name; only of classes
+        that have had a response that is paced.
     :param memory: attempts that ended or were fenced, as far as they are still remembered.
     """
 
@@ -158,7 +171,7 @@
     queues: Map[QueueKey, ClassQueue] = field(default_factory=Map)
     claimed: tuple[str, ...] = ()
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
-    send_times_ms: Map[str, float] = field(default_factory=Map)
+    send_times: Map[str, SendTime] = field(default_factory=Map)
     memory: AttemptMemory = field(default_factory=AttemptMemory)
 
 
--- a/packages/core/src/bamboonotch_core/admission/_uplink.py
+++ b/packages/core/src/bamboonotch_core/admission/_uplink.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bamboonotch_core.admission._limit import service_ms
-from bamboonotch_core.admission._state import AdmissionState, LiveAttempt
+from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, SendTime
 from bamboonotch_core.configuration import RequestClass
 from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import BackendFinished, BackendResult, WorkOffered
@@ -27,14 +27,22 @@
     """
     if event.result is not BackendResult.DONE:
         return state
-    known_ms = state.send_times_ms.get(attempt.request_class)
-    if known_ms is None:
+    known = state.send_times.get(attempt.request_class)
+    if known is None:
         if not event.send_ms:
             return state
-        known_ms = event.send_ms
-    smoothed_ms = known_ms + SEND_TIME_SMOOTHING * (event.send_ms - known_ms)
-    send_times_ms = state.send_times_ms.set(attempt.request_class, smoothed_ms)
-    return replace_fields(state, send_times_ms=send_times_ms)
+        known = SendTime()
+    samples = known.samples + 1
+    # The first responses count evenly, so that one long response among them does not last.
+    weight = max(SEND_TIME_SMOOTHING, 1.0 / samples)
+    mean_ms = known.mean_ms + weight * (event.send_ms - known.mean_ms)
+    send_times = state.send_times.set(attempt.request_class, SendTime(mean_ms, samples))
+    return replace_fields(state, send_times=send_times)
+
+
+def _send_ms(state: AdmissionState, request_class: str) -> float:
+    known = state.send_times.get(request_class)
+    return 0.0 if known is None else known.mean_ms
 
 
 def can_send_in_time(
@@ -45,11 +53,11 @@
     Bodies leave in the order in which they came to wait, so an arrival waits for the bodies that
     wait now and for those of the attempts before it.
     """
-    own_ms = state.send_times_ms.get(event.request_class, 0.0)
+    own_ms = _send_ms(state, event.request_class)
     if event.uplink_ms is None or not own_ms or not request_class.target_ms:
         return True
     ahead_ms = event.uplink_ms + sum(
-        state.send_times_ms.get(attempt.request_class, 0.0)
+        _send_ms(state, attempt.request_class)
         for attempt in state.live.values()
         if attempt.uses_uplink
     )
--- a/packages/core/tests/admission/test_uplink.py
+++ b/packages/core/tests/admission/test_uplink.py
@@ -9,6 +9,7 @@
 from bamboonotch_core.effects import Effect
 from bamboonotch_core.events import BackendServerAnnounced, Event
 from bamboonotch_core.outcomes import RefusalReason, make_attempt_id
+from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_effects import DispatchToBackend, RefuseWork
 from bamboonotch_core.request_events import BackendFinished, BackendResult, WorkOffered
 from tests.routing.builders import make_settings
@@ -117,6 +118,15 @@
             self.end_latest(3000.0)
         self.assertEqual(self.offer("download", 0.0), "")
 
+    def test_one_long_response_among_short_ones(self) -> None:
+        """Guards against a class that is refused for long because its first response was long."""
+        self.state = replace_fields(self.state, send_times=type(self.state.send_times)())
+        for send_ms in (3000.0, *[0.0] * 15):
+            self.offer("download", 0.0)
+            self.end_latest(send_ms)
+        self.offer("download", 0.0)
+        self.assertEqual(self.offer("download", 0.0), "")
+
     def test_room_returns(self) -> None:
         """Guards against downloads that count for the link after they have ended."""
         for _ in range(3):
