Hash the rate of a member's link with its record

Found by review, too. Core's membership tests pass.

Left open: a node of an earlier version passes records on without the rate, at the same sequence number. Until the owner's next change, a node that has it so takes that link for slow, and during a rolling update more nodes than three may read the store.

--- a/packages/core/src/bamboonotch_core/membership/_hashing.py
+++ b/packages/core/src/bamboonotch_core/membership/_hashing.py
@@ -36,5 +36,6 @@
         str(record.slots),
         record.state.value,
         str(record.relay_slot),
+        str(record.link_mbps),
     )
     return _hash_text(_FIELD_SEPARATOR.join(fields))
