Wait for responses that still leave before a process ends

Found by reading, with the responses that continue on another stream: a process that was asked to end left as soon as its backend server had nothing more to do and 2.7 s had passed. A body that still waited for the link was cut. On a full link that is up to a second, and pacing makes it more likely.

A tick now states the attempts at the backend server whose last byte has not left; the process waits for them, until the deadline of its shutdown. Test: test_response_that_still_leaves_is_waited_for, failed before.

--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -50,7 +50,13 @@
 
 @dataclass(frozen=True)
 class Tick(Event):
-    """Comes every 100 ms; drives every timeout."""
+    """Comes every 100 ms; drives every timeout.
+
+    :param owned_attempts: attempts at the local backend server, until the last byte of their
+        responses has left this node.
+    """
+
+    owned_attempts: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -284,7 +284,7 @@
     if state.stop_ms is not None:
         stop = (StopProcess(),) if event.now_ms >= state.stop_ms else ()
         return Transition(state, transition.effects + stop)
-    if not _may_leave(state, event.now_ms):
+    if not _may_leave(state, event):
         return transition
     # Answers and refusals reach the callers in the time that the leaving takes to spread.
     ended = end_requests(state.outcomes, event.now_ms)
@@ -319,11 +319,11 @@
     return is_idle(state.admission) and now_ms >= state.shutdown_idle_after_ms
 
 
-def _may_leave(state: NodeState, now_ms: float) -> bool:
+def _may_leave(state: NodeState, tick: Tick) -> bool:
     """Tell whether a process that shuts down has no work left, or no time."""
     if state.shutdown_deadline_ms is None:
         return False
-    if now_ms >= state.shutdown_deadline_ms:
+    if tick.now_ms >= state.shutdown_deadline_ms:
         return True
-    idle = is_idle(state.admission) and not state.outcomes.requests
-    return idle and now_ms >= state.shutdown_idle_after_ms
+    idle = is_idle(state.admission) and not state.outcomes.requests and not tick.owned_attempts
+    return idle and tick.now_ms >= state.shutdown_idle_after_ms
--- a/packages/core/tests/test_reducer.py
+++ b/packages/core/tests/test_reducer.py
@@ -172,6 +172,18 @@
         self.assertTrue(self.state.outcomes.shutting_down)
         self.assertIn(StopProcess(), self.tick(4))
 
+    def test_response_that_still_leaves_is_waited_for(self) -> None:
+        """Guards against a download that is cut because its backend server has done its part."""
+        requests = RequestSettings(shutdown_spread_ms=500, kill_after_ms=6000)
+        self.state = make_node_state(replace(self.settings, requests=requests), 7, 1, self.now_ms)
+        self.serve()
+        self.send(ShutdownRequested(self.now_ms))
+        for _ in range(30):
+            self.now_ms += TICK_MS
+            self.assertNotIn(StopProcess(), self.send(Tick(self.now_ms, owned_attempts=1)))
+        self.assertTrue(is_idle(self.state.admission))
+        self.assertIn(StopProcess(), self.tick(5))
+
     def test_ends_before_it_is_killed(self) -> None:
         """Guards against a process that is killed with answers on the way."""
         requests = RequestSettings(
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -253,7 +253,7 @@
 
     def _tick(self) -> None:
         self._ticker = asyncio.get_running_loop().call_later(TICK_S, self._tick)
-        self.dispatch(Tick(now_ms()))
+        self.dispatch(Tick(now_ms(), len(self._path.owner)))
         self._pauses.note_tick()
 
     def _handle(self, event: Event) -> None:
