--- a/packages/core/src/bamboonotch_core/admission/_uplink.py
+++ b/packages/core/src/bamboonotch_core/admission/_uplink.py
@@ -13,8 +13,7 @@
 SEND_TIME_SMOOTHING = 0.05
 # Time for the link that even a class with a slow backend server has, as a share of its target.
 MIN_LINK_TARGET_SHARE = 0.5
-# A caller that was refused before is late already. It gets what the link has left when nobody else
-# needs it, and does not take the place of one that can still be in time.
+# A caller that was refused before is late already, and must not displace one that can be in time.
 RETURNING_TARGET_SHARE = 0.5
 
 
--- a/packages/node/src/bamboonotch_node/forwarding/_client.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_client.py
@@ -55,7 +55,7 @@
     """A response whose stream was lost, until the owner continues it over another one.
 
     :param timer: ends the wait.
-    :param number: number of the last question to the owner; 0 before the first.
+    :param number: number of the last request to resume; 0 before the first.
     """
 
     attempt: IncomingAttempt
@@ -347,7 +347,7 @@
         self._report_resumption("response-broken-off", attempt, ("reason", reason))
         stream = self._pool.find(attempt.effect.owner_id)
         if resumption.number and stream is not None:
-            # The owner may still get the question, and would keep the rest for nobody.
+            # The owner may still get the request to resume, and would keep the rest for nobody.
             stream.frames.send(pb.ForwardFrame(cancel=pb.Cancel(attempt_id=attempt_id)))
         attempt.finish(False)
 
--- a/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
@@ -177,7 +177,7 @@
         if not (available and 0 <= skipped_bytes <= self._kept_bytes):
             return False
         if position.number <= self._resumption_number:
-            # The question was overtaken by a later one over another stream.
+            # The request to resume was overtaken by a later one over another stream.
             return False
         self._resumption_number = position.number
         self._acknowledged_bytes = position.received_bytes - position.unacknowledged_bytes
