Log what an owner knew when it refused work, and count refusals by class

The line work-refused carried the load only, so it could not tell a concurrency limit that was cut from a wait that was over-estimated, or from slots that were full. Its rate is bounded, and no metric counted refusals.

The line now has the class, the slots held, the limit, the queue and the smoothed service time, and work_refused_total counts every refusal by class, service and reason.

--- a/packages/core/src/bamboonotch_core/admission/_ending.py
+++ b/packages/core/src/bamboonotch_core/admission/_ending.py
@@ -9,7 +9,7 @@
 from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
 from bamboonotch_core.effects import Effect
 from bamboonotch_core.replace import replace_fields
-from bamboonotch_core.request_effects import RefuseWork
+from bamboonotch_core.request_effects import OwnerLoad, RefuseWork
 from bamboonotch_core.request_events import BackendResult, FenceState
 from bamboonotch_core.transition import Transition
 
@@ -64,13 +64,24 @@
     """
     not_run = result is BackendResult.NOT_RUN
     fence_state = FenceState.NOT_RUN if not_run else FenceState.FINISHED
+    owner_load = _owner_load(state)
     attempt = state.live.get(attempt_id)
     if attempt is not None:
         state = remove_live_attempt(state, attempt, fence_state, now_ms)
     else:
         memory = remember(state.memory, attempt_id, fence_state, now_ms, state.settings.admission)
         state = replace_fields(state, memory=memory)
-    return Transition(state, (RefuseWork(attempt_id, result, reason, len(state.live)),))
+    refusal = RefuseWork(attempt_id, result, reason, len(state.live), owner_load)
+    return Transition(state, (refusal,))
+
+
+def _owner_load(state: AdmissionState) -> OwnerLoad:
+    return OwnerLoad(
+        slots_held=state.slots_held,
+        limit_slots=min(float(state.backend.slots), state.limit.value),
+        queued=state.queued,
+        service_ms=state.limit.mean_ms,
+    )
 
 
 def refuse_queued(state: AdmissionState, reason: str, now_ms: float) -> Step:
--- a/packages/core/src/bamboonotch_core/request_effects.py
+++ b/packages/core/src/bamboonotch_core/request_effects.py
@@ -16,6 +16,7 @@
     "DispatchToBackend",
     "ForwardAttempt",
     "Outcome",
+    "OwnerLoad",
     "PassResponse",
     "RefuseWork",
     "RespondToCaller",
@@ -153,6 +154,23 @@
     attempt_id: str
 
 
+@dataclass(frozen=True)
+class OwnerLoad:
+    """What an owner knows of its load when it refuses an attempt.
+
+    :param slots_held: slots taken or reserved.
+    :param limit_slots: slots of the backend server, or the concurrency limit if that is lower.
+    :param queued: attempts in all queues.
+    :param service_ms: smoothed service time of all classes, in milliseconds; 0 before the first
+        answer.
+    """
+
+    slots_held: int
+    limit_slots: float
+    queued: int
+    service_ms: float
+
+
 @dataclass(frozen=True)
 class RefuseWork(Effect):
     """Owner: end an attempt that got no response from the backend server.
@@ -161,12 +179,14 @@
     :param result: ``NOT_RUN`` or ``UNKNOWN``.
     :param reason: why, lower case with dashes.
     :param load: work in slots and queue.
+    :param owner_load: what decided, for the log; ``None`` when the backend server had the attempt.
     """
 
     attempt_id: str
     result: BackendResult
     reason: str
     load: int
+    owner_load: OwnerLoad | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/bamboonotch_node/metrics.py
+++ b/packages/node/src/bamboonotch_node/metrics.py
@@ -42,6 +42,11 @@
         self._outcomes = add(
             Counter("request_outcomes_total", "Requests by tenant, class, service and outcome")
         )
+        self._refused_work = add(
+            Counter(
+                "work_refused_total", "Attempts refused by this owner, by class, service and reason"
+            )
+        )
         self._versions = add(Gauge("configuration_version", "Held and running version"))
         self._serving = add(Gauge("serving", "1 while the node serves requests"))
         self._members = add(Gauge("members", "Members known, by state"))
@@ -152,6 +157,15 @@
         if added_ms is not None:
             self._added.observe(labels, added_ms)
 
+    def count_refused_work(self, request_class: str, service: str, reason: str) -> None:
+        """Count one attempt that this owner ended without a response.
+
+        :param request_class: class of the request.
+        :param service: service asked for.
+        :param reason: why, lower case with dashes.
+        """
+        self._refused_work.inc({"class": request_class, "service": service, "reason": reason})
+
     def observe_work(
         self,
         tenant: str,
--- a/packages/node/src/bamboonotch_node/runtime/_request_observer.py
+++ b/packages/node/src/bamboonotch_node/runtime/_request_observer.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from bamboonotch_core.effects import Effect
@@ -194,15 +194,21 @@
 
     def _see_refused_work(self, effect: RefuseWork) -> None:
         work = self._works.pop(effect.attempt_id, None)
+        service = UNROUTED if work is None else work.service
+        request_class = UNROUTED if work is None else work.request_class
+        self._metrics.count_refused_work(request_class, service, effect.reason)
+        owner_load = effect.owner_load
         self._log.note(
             "work-refused",
             attempt=effect.attempt_id,
-            service=UNROUTED if work is None else work.service,
+            service=service,
+            request_class=request_class,
             reason=effect.reason,
             not_run=effect.result is BackendResult.NOT_RUN,
             load=effect.load,
             returning=work is not None and work.returning,
             waited_ms=0.0 if work is None else now_ms() - work.offered_ms,
+            **({} if owner_load is None else asdict(owner_load)),
         )
 
     def _see_owner_end(self, event: OwnerReply, outcome: str, reason: str) -> None:
--- a/packages/node/tests/test_request_observer.py
+++ b/packages/node/tests/test_request_observer.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import Any
 
-from bamboonotch_core.request_effects import RefuseWork
+from bamboonotch_core.request_effects import OwnerLoad, RefuseWork
 from bamboonotch_core.request_events import BackendResult, WorkOffered
 from bamboonotch_node.logs import RequestLog
 from bamboonotch_node.metrics import NodeMetrics
@@ -30,7 +30,13 @@
                 WorkOffered(0.0, "r", attempt_id, "orders", "order", 9.0, True, "", returning)
             )
             observer.see_effect(
-                RefuseWork(attempt_id, BackendResult.NOT_RUN, "cannot-start-in-time", 6)
+                RefuseWork(
+                    attempt_id,
+                    BackendResult.NOT_RUN,
+                    "cannot-start-in-time",
+                    6,
+                    OwnerLoad(slots_held=3, limit_slots=3.0, queued=3, service_ms=120.0),
+                )
             )
         self.assertEqual([name for name, _ in lines], ["work-refused"] * 2)
         self.assertEqual([fields["returning"] for _, fields in lines], [True, False])
@@ -40,3 +46,7 @@
                 ("orders", "cannot-start-in-time", 6, True),
             )
             self.assertGreater(fields["waited_ms"], 0.0)
+            self.assertEqual(
+                (fields["slots_held"], fields["limit_slots"], fields["queued"]), (3, 3.0, 3)
+            )
+            self.assertEqual(fields["service_ms"], 120.0)
