Charge everything that leaves over a VM's link to the share of its bodies

Cause: the six VMs of plans serve more downloads than their links of 4.55 Mbit/s carry. Bodies were paced to 0.9 of the link, but responses to callers on other hosts, messages of control streams and small frames between nodes were charged in part or not at all. The sum was above the link's rate, so a queue grew in the link: a call of 31 ms at plans was answered after 139 ms at second 0, 262 at 4, 475 at 10, 525 at 14. Orders wait for two such calls in 7 of 10 cases and hold their slot meanwhile. Class: a shared resource whose scheduler does not know of a part of its users.

Now all of it is charged in full and paid off while bodies keep a minimum share; a debt is paid off instead of being forgiven after 0.2 s.

--- a/packages/node/src/bamboonotch_node/forwarding/_outbox.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_outbox.py
@@ -155,8 +155,9 @@
             self._close()
         if not self.head_sent:
             self.head_sent = True
-            self._outbox.uplink.note_sent(len(data))
-            return self._build_head(data, last)
+            head = self._build_head(data, last)
+            self._outbox.uplink.note_message(head.ByteSize())
+            return head
         return pb.ForwardFrame(
             body_chunk=pb.BodyChunk(attempt_id=self.attempt_id, data=data, last=last)
         )
@@ -260,7 +261,9 @@
         if not self._is_open:
             return None
         if self._control:
-            return self._control.popleft()
+            control = self._control.popleft()
+            self.uplink.note_message(control.ByteSize())
+            return control
         for queue in (self._heads, self._bodies):
             while queue:
                 body = queue.popleft()
--- a/packages/node/src/bamboonotch_node/forwarding/_uplink.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_uplink.py
@@ -4,6 +4,10 @@
 stream, a response of a few hundred bytes, a heartbeat or a readiness check would wait behind all of
 these windows. So bodies are written no faster than the link sends them, the oldest first, and what
 is small is written at once.
+
+Everything else that this process writes to the link is charged to it in full: frames without a
+grant, messages of control streams and responses to callers on other hosts. What is not charged
+adds up to a queue in the link, which no body waits for and every small response does.
 """
 
 from __future__ import annotations
@@ -16,16 +20,18 @@
 __all__ = ["PacedBody", "Uplink"]
 
 BYTES_PER_MEGABIT = 125_000
-# The rest is for control streams, calls of the store, and the headers of packets.
-BODY_SHARE = 0.9
+# The rest is for calls of the store, acknowledgements and the headers of packets.
+PACED_SHARE = 0.9
 # Credit that builds up while no body waits; it makes up for timers that fire late.
 MAX_CREDIT_S = 0.02
 MIN_WAIT_S = 0.001
-# Small frames are never held back. They are charged in part, so that bodies keep a share of a link
-# that small frames fill.
-SMALL_FRAME_CHARGE = 0.75
-# How long a burst of small frames can hold bodies back.
-MAX_DEBT_S = 0.2
+# Headers of gRPC, HTTP/2, TCP and IP, which a small message has to itself.
+MESSAGE_HEADER_BYTES = 5 + 9 + 32 + 20
+# Other traffic is never held back. It is paid off over time, so that bodies keep a share of a link
+# that other traffic fills.
+MIN_BODY_SHARE = 0.15
+# Other traffic beyond this is not paid off; the link has then carried what its queue dropped.
+MAX_DEBT_S = 2.0
 
 
 class PacedBody(Protocol):
@@ -58,10 +64,11 @@
         waited: Callable[[float], None] = lambda waited_ms: None,
         loop: asyncio.AbstractEventLoop | None = None,
     ) -> None:
-        self._bytes_per_s = link_mbps * BYTES_PER_MEGABIT * BODY_SHARE
+        self._bytes_per_s = link_mbps * BYTES_PER_MEGABIT * PACED_SHARE
         self._waited = waited
         self._loop = loop
         self._credit_bytes = 0.0
+        self._debt_bytes = 0.0
         self._credited_s = 0.0
         self._waiting: list[tuple[int, float, PacedBody]] = []
         self._last_number = 0
@@ -93,13 +100,20 @@
             self._grant_due()
 
     def note_sent(self, size_bytes: int) -> None:
-        """Take note of a frame that left without a grant.
+        """Take note of what left over the link without a grant.
 
         :param size_bytes: its size.
         """
         if self.is_paced:
-            self._refill()
-            self._charge(SMALL_FRAME_CHARGE * size_bytes)
+            limit_bytes = MAX_DEBT_S * self._bytes_per_s
+            self._debt_bytes = min(limit_bytes, self._debt_bytes + size_bytes)
+
+    def note_message(self, size_bytes: int) -> None:
+        """Take note of a message that left without a grant on a stream between nodes.
+
+        :param size_bytes: its size without headers.
+        """
+        self.note_sent(size_bytes + MESSAGE_HEADER_BYTES)
 
     def backlog_ms(self) -> float:
         """Return how long the bodies that wait for a grant occupy the link, in milliseconds."""
@@ -109,7 +123,8 @@
         if not waiting_bytes:
             return 0.0
         self._refill()
-        return max(0.0, (waiting_bytes - self._credit_bytes) / self._bytes_per_s * 1000)
+        ahead_bytes = waiting_bytes + self._debt_bytes - self._credit_bytes
+        return max(0.0, ahead_bytes / self._bytes_per_s * 1000)
 
     def send_ms(self, size_bytes: int) -> float:
         """Return how long a body occupies the link, in milliseconds.
@@ -134,23 +149,27 @@
     def _refill(self) -> None:
         now_s = self._get_loop().time()
         earned_bytes = (now_s - self._credited_s) * self._bytes_per_s
+        paid_bytes = min(self._debt_bytes, (1.0 - MIN_BODY_SHARE) * earned_bytes)
+        self._debt_bytes -= paid_bytes
         limit_bytes = MAX_CREDIT_S * self._bytes_per_s
-        self._credit_bytes = min(limit_bytes, self._credit_bytes + earned_bytes)
+        self._credit_bytes = min(limit_bytes, self._credit_bytes + earned_bytes - paid_bytes)
         self._credited_s = now_s
 
-    def _charge(self, size_bytes: float) -> None:
-        limit_bytes = -MAX_DEBT_S * self._bytes_per_s
-        self._credit_bytes = max(limit_bytes, self._credit_bytes - size_bytes)
-
     def _grant_due(self) -> None:
         self._timer = None
         self._refill()
         while self._waiting and self._credit_bytes > 0:
             _, since_s, body = heapq.heappop(self._waiting)
             size_bytes = body.grant()
-            self._charge(size_bytes)
+            self._credit_bytes -= size_bytes
             if size_bytes:
                 self._waited((self._credited_s - since_s) * 1000)
         if self._waiting:
-            wait_s = max(MIN_WAIT_S, -self._credit_bytes / self._bytes_per_s)
-            self._timer = self._get_loop().call_later(wait_s, self._grant_due)
+            self._timer = self._get_loop().call_later(self._wait_s(), self._grant_due)
+
+    def _wait_s(self) -> float:
+        """Return the time until bodies have credit again, while other traffic is paid off."""
+        missing_bytes = -self._credit_bytes
+        beside_debt_s = missing_bytes / (MIN_BODY_SHARE * self._bytes_per_s)
+        after_debt_s = (missing_bytes + self._debt_bytes) / self._bytes_per_s
+        return max(MIN_WAIT_S, min(beside_debt_s, after_debt_s))
--- a/packages/node/src/bamboonotch_node/http_ingress/_channel.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_channel.py
@@ -148,13 +148,35 @@
         self._continue_due = False
         self._linger: asyncio.TimerHandle | None = None
         self._head_timer: asyncio.TimerHandle | None = None
+        self._is_local = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Apply the limits of callers."""
         self._apply_limits()
+        self._is_local = self.transport.getPeer().host == self.transport.getHost().host
         super().connectionMade()
         self.factory.connections.add(self)
 
+    def write(self, data: bytes) -> None:
+        """Write to the caller.
+
+        :param data: part of a response.
+        """
+        self._note_sent(len(data))
+        super().write(data)
+
+    def writeSequence(self, iovec: Any) -> None:  # noqa: N802
+        """Write several pieces to the caller.
+
+        :param iovec: parts of a response.
+        """
+        self._note_sent(sum(map(len, iovec)))
+        super().writeSequence(iovec)
+
+    def _note_sent(self, size_bytes: int) -> None:
+        if not self._is_local:
+            self.factory.ingress.note_sent(size_bytes)
+
     def _apply_limits(self) -> None:
         settings = self.factory.ingress.settings
         self.totalHeadersSize = settings.max_header_bytes
@@ -289,7 +311,7 @@
         self._linger = asyncio.get_running_loop().call_later(
             LINGER_S, self.transport.abortConnection
         )
-        self.transport.write(encode_answer(status, reason))
+        self.write(encode_answer(status, reason))
         self.transport.loseWriteConnection()
 
     def _send100Continue(self) -> None:  # noqa: N802
--- a/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
@@ -65,6 +65,7 @@
     :param dialect: names and rules of the HTTP spoken.
     :param request_settings: returns the settings in force for requests.
     :param unread_ms: returns for how long a request that is read now may have waited.
+    :param note_sent: takes the size of what leaves to callers on other hosts, in bytes.
     """
 
     def __init__(
@@ -79,8 +80,10 @@
         dialect: HttpDialect,
         request_settings: Callable[[], RequestSettings],
         unread_ms: Callable[[], float],
+        note_sent: Callable[[int], None] = lambda size_bytes: None,
     ) -> None:
         self.unread_ms = unread_ms
+        self.note_sent = note_sent
         self._dialect = dialect
         self._request_settings = request_settings
         self.service = settings.identity.service
--- a/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -81,6 +81,7 @@
             dialect,
             in_force,
             unread_ms,
+            self.uplink.note_sent,
         )
         self.client = ForwardingClient(
             settings,
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -108,7 +108,7 @@
             LocalIdentity(settings.identity, incarnation),
             self._translation,
             self.dispatch,
-            self._metrics.count_control,
+            self._note_control,
             self._report_malformed_message,
         )
         self._store = surroundings.make_store_driver(
@@ -347,6 +347,10 @@
     def _count_store_call(self, call: StoreCall) -> None:
         self._metrics.count_store_call(call.kind.value, call.duration_ms, call.result.value)
 
+    def _note_control(self, link_kind: str, message_kind: str, size_bytes: int) -> None:
+        self._metrics.count_control(link_kind, message_kind, size_bytes)
+        self._path.uplink.note_message(size_bytes)
+
     def _report_malformed_message(self, link_id: str, fault: str) -> None:
         self.report(Report("malformed-message", (("link_id", link_id), ("fault", fault))))
 
--- a/packages/node/tests/forwarding/test_uplink.py
+++ b/packages/node/tests/forwarding/test_uplink.py
@@ -86,6 +86,18 @@
         body.finish(True)
         return outbox
 
+    def send_other(self, size_bytes: int) -> None:
+        """Write to the link what no stream of this owner carries."""
+        self.uplink.note_sent(size_bytes)
+        self._occupy(size_bytes)
+
+    def queue_s(self) -> float:
+        """Return how long what was written last waits in the link, in seconds."""
+        return max(0.0, self._free_s - self.loop.time())
+
+    def _occupy(self, size_bytes: int) -> None:
+        self._free_s = max(self._free_s, self.loop.time()) + size_bytes / LINK_BYTES_PER_S
+
     def _pass_on(self) -> None:
         """Write each frame to the link at once, as a library does whose windows have room."""
         for outbox in self._outboxes:
@@ -98,8 +110,7 @@
         part = frame.response_head if is_head else frame.body_chunk
         size_bytes = frame.ByteSize()
         self.sent_bytes += size_bytes
-        start_s = max(self._free_s, self.loop.time())
-        self._free_s = start_s + size_bytes / LINK_BYTES_PER_S
+        self._occupy(size_bytes)
         data_bytes = len(part.body if is_head else part.data)
         arrival_s = self._free_s + ONE_WAY_S - self.loop.time()
         self.loop.call_later(arrival_s, self._arrive, part.attempt_id, data_bytes, part.last)
@@ -166,6 +177,20 @@
                 break
         self.assertIn("download", owner.ended_s)
 
+    def test_bursts_of_other_traffic(self) -> None:
+        """Guards against nested calls that wait in a link which responses to callers fill too.
+
+        Each burst left a rest in the link that was never paid off, until calls missed their
+        deadlines.
+        """
+        owner = SimulatedOwner(LINK_MBPS)
+        for number in range(60):
+            owner.respond(f"download-{number}", DOWNLOAD_BYTES)
+        for burst in range(8):
+            owner.loop.run_until(0.8 * (burst + 1))
+            self.assertLess(owner.queue_s(), 0.1, f"before burst {burst}")
+            owner.send_other(2 * DOWNLOAD_BYTES)
+
     def test_backlog(self) -> None:
         """Guards against an owner that takes more downloads than its link can send in time."""
         owner = SimulatedOwner(LINK_MBPS)
