Keep the rate of requests that a backend server names in its responses

Cause: responses were read for their request only, so the header had no reader. Ruled out: sums over ingress nodes and late knowledge, because nothing was known at all.

The owner is the only way to its backend server; a token bucket there bounds all nodes together. It starts empty, holds 0.25 s of the rate, sends one request in 2 s at a rate of 0, and is gone with the process that named it. Urgent work goes first, what cannot start in time by the rate is refused at once, without a retry token. The rate is in the member record, and ingress nodes count the wait for it. Malformed values are reported and change nothing.

--- a/packages/core/src/bamboonotch_core/admission/_capacity.py
+++ b/packages/core/src/bamboonotch_core/admission/_capacity.py
@@ -6,7 +6,14 @@
 from bamboonotch_core.admission._state import AdmissionState
 from bamboonotch_core.configuration import Configuration, Rank
 
-__all__ = ["allowed_slots", "expected_wait_ms", "hard_slots", "is_draining", "total_queue_limit"]
+__all__ = [
+    "allowed_slots",
+    "count_ahead",
+    "expected_wait_ms",
+    "hard_slots",
+    "is_draining",
+    "total_queue_limit",
+]
 
 RESIDUAL_SHARE = 0.5  # on average, half of the service time of a running request remains
 
@@ -55,6 +62,14 @@
     return max((item.queue_limit for item in configuration.classes.values()), default=0)
 
 
+def count_ahead(state: AdmissionState, rank: Rank) -> int:
+    """Return the number of queued attempts that go before an arrival.
+
+    :param rank: rank of the arrival; only attempts of the same or a lower rank value go first.
+    """
+    return sum(len(queue.entries) for queue in state.queues.values() if queue.rank <= rank)
+
+
 def expected_wait_ms(state: AdmissionState, rank: Rank, slots: int) -> float:
     """Estimate how long an arrival waits for a slot, from measured service times.
 
--- a/packages/core/src/bamboonotch_core/admission/_dispatch.py
+++ b/packages/core/src/bamboonotch_core/admission/_dispatch.py
@@ -9,6 +9,7 @@
 from bamboonotch_core.configuration import Configuration, Rank
 from bamboonotch_core.effects import Effect
 from bamboonotch_core.outcomes import RefusalReason
+from bamboonotch_core.rate_limit import has_token, take_token
 from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_effects import ClaimKey, DispatchToBackend
 from bamboonotch_core.request_events import BackendResult
@@ -57,11 +58,14 @@
 
 
 def start(state: AdmissionState, attempt: LiveAttempt, now_ms: float) -> Step:
-    """Dispatch an attempt, or claim its key first when it has one.
+    """Dispatch an attempt, or claim its key first when it has one, and take its token.
 
     :param attempt: attempt that is in no queue.
     :param now_ms: monotonic clock, in milliseconds.
     """
+    rate_limit = take_token(state.rate_limit, now_ms)
+    if rate_limit is not state.rate_limit:
+        state = replace_fields(state, rate_limit=rate_limit)
     if attempt.claim_key:
         return _claim(state, attempt, now_ms)
     return dispatch(state, attempt, now_ms)
@@ -97,7 +101,7 @@
             reason = RefusalReason.DEADLINE
             return refuse(state, attempt.attempt_id, BackendResult.NOT_RUN, reason, now_ms)
         return dispatch(replace_fields(state, claimed=state.claimed[1:]), attempt, now_ms)
-    queued = _next_queued_attempt(state, may_claim)
+    queued = _next_queued_attempt(state, may_claim) if has_token(state.rate_limit, now_ms) else None
     if queued is None:
         return None
     if now_ms >= queued.expires_ms:
--- a/packages/core/src/bamboonotch_core/admission/_ending.py
+++ b/packages/core/src/bamboonotch_core/admission/_ending.py
@@ -81,6 +81,7 @@
         limit_slots=min(float(state.backend.slots), state.limit.value),
         queued=state.queued,
         service_ms=state.limit.mean_ms,
+        rate_limit_per_s=None if state.rate_limit is None else state.rate_limit.named_per_s,
     )
 
 
--- a/packages/core/src/bamboonotch_core/admission/_expiry.py
+++ b/packages/core/src/bamboonotch_core/admission/_expiry.py
@@ -15,6 +15,7 @@
 from bamboonotch_core.configuration import Configuration
 from bamboonotch_core.effects import Effect
 from bamboonotch_core.outcomes import RefusalReason
+from bamboonotch_core.rate_limit import rate_wait_ms
 from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import BackendResult
 from bamboonotch_core.transition import Transition
@@ -70,21 +71,27 @@
 
 def _refuse_too_late(state: AdmissionState, configuration: Configuration, now_ms: float) -> Step:
     """Refuse queued attempts that would expire before the work ahead of them is done."""
-    if not state.queued or not state.limit.mean_ms:
+    if not state.queued:
         return Transition(state)
     slots = max(1, allowed_slots(state, configuration, now_ms))
     queued_attempts = [item for item in state.live.values() if item.stage is Stage.QUEUED]
     queues = state.queues
     queued_attempts.sort(key=lambda item: (queues[item.queue_key].rank, item.arrival_number))
     ahead_ms = state.limit.mean_ms * len(state.claimed)
+    ahead = 0
     effects: list[Effect] = []
     for attempt in queued_attempts:
-        if now_ms + ahead_ms / slots >= attempt.expires_ms:
+        reason = ""
+        if now_ms + rate_wait_ms(state.rate_limit, ahead, now_ms) >= attempt.expires_ms:
+            reason = RefusalReason.RATE_LIMITED
+        elif now_ms + ahead_ms / slots >= attempt.expires_ms:
             reason = RefusalReason.TOO_LATE
+        if reason:
             step = refuse(state, attempt.attempt_id, BackendResult.NOT_RUN, reason, now_ms)
             state = step.state
             effects.extend(step.effects)
         else:
+            ahead += 1
             ahead_ms += service_ms(state.limit, attempt.request_class)
     return Transition(state, tuple(effects))
 
--- a/packages/core/src/bamboonotch_core/admission/_offers.py
+++ b/packages/core/src/bamboonotch_core/admission/_offers.py
@@ -4,6 +4,7 @@
 
 from bamboonotch_core.admission._capacity import (
     allowed_slots,
+    count_ahead,
     expected_wait_ms,
     hard_slots,
     is_draining,
@@ -16,8 +17,9 @@
 from bamboonotch_core.admission._queue import ClassQueue, newest_id, push
 from bamboonotch_core.admission._state import AdmissionState, LiveAttempt, Stage
 from bamboonotch_core.admission._uplink import can_send_in_time
-from bamboonotch_core.configuration import Configuration, RequestClass
+from bamboonotch_core.configuration import Configuration, Rank, RequestClass
 from bamboonotch_core.outcomes import RefusalReason, parse_attempt_id
+from bamboonotch_core.rate_limit import has_token, rate_wait_ms
 from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import BackendResult, FenceState, WorkOffered
 from bamboonotch_core.transition import Transition
@@ -135,16 +137,31 @@
         stage=Stage.QUEUED,
         uses_uplink=event.uplink_ms is not None,
     )
-    allowed = allowed_slots(state, configuration, event.now_ms)
-    free = state.slots_held < allowed and not state.queued and not state.claimed
+    now_ms = event.now_ms
+    allowed = allowed_slots(state, configuration, now_ms)
+    in_rate = has_token(state.rate_limit, now_ms)
+    free = state.slots_held < allowed and in_rate and not state.queued and not state.claimed
     if free and not (attempt.claim_key and state.claims_pending >= allowed):
-        return start(state, attempt, event.now_ms)
-    rank = request_class.rank(event.returning)
-    expected_ms = event.now_ms + expected_wait_ms(state, rank, allowed)
-    if state.slots_held >= allowed and expected_ms >= attempt.expires_ms:
-        reason = RefusalReason.TOO_LATE
-        return refuse(state, event.attempt_id, BackendResult.NOT_RUN, reason, event.now_ms)
-    return _enqueue(state, attempt, request_class, configuration, event.now_ms)
+        return start(state, attempt, now_ms)
+    reason = _late_start_reason(
+        state, attempt, request_class.rank(event.returning), allowed, now_ms
+    )
+    if reason:
+        return refuse(state, event.attempt_id, BackendResult.NOT_RUN, reason, now_ms)
+    return _enqueue(state, attempt, request_class, configuration, now_ms)
+
+
+def _late_start_reason(
+    state: AdmissionState, attempt: LiveAttempt, rank: Rank, allowed: int, now_ms: float
+) -> str:
+    """Return why an arrival would start too late, or an empty text when it would not."""
+    rate_ms = rate_wait_ms(state.rate_limit, count_ahead(state, rank), now_ms)
+    if rate_ms and now_ms + rate_ms >= attempt.expires_ms:
+        return RefusalReason.RATE_LIMITED
+    slot_ms = expected_wait_ms(state, rank, allowed)
+    if state.slots_held >= allowed and now_ms + slot_ms >= attempt.expires_ms:
+        return RefusalReason.TOO_LATE
+    return ""
 
 
 def _lowest_priority_queue(state: AdmissionState) -> ClassQueue | None:
--- a/packages/core/src/bamboonotch_core/admission/_reducer.py
+++ b/packages/core/src/bamboonotch_core/admission/_reducer.py
@@ -4,7 +4,11 @@
 
 from functools import singledispatch
 
-from bamboonotch_core.admission._backend import apply_announcement, start_or_refuse_waiting
+from bamboonotch_core.admission._backend import (
+    apply_announcement,
+    apply_stated_rate,
+    start_or_refuse_waiting,
+)
 from bamboonotch_core.admission._capacity import is_draining
 from bamboonotch_core.admission._ending import limit_work
 from bamboonotch_core.admission._expiry import expire
@@ -16,6 +20,7 @@
 from bamboonotch_core.effects import Report
 from bamboonotch_core.events import (
     BackendServerAnnounced,
+    BackendServerStated,
     DrainRequested,
     Event,
     ShutdownRequested,
@@ -112,6 +117,13 @@
     return apply_announcement(state, event, configuration)
 
 
+@_reduce.register
+def _on_stated(
+    event: BackendServerStated, state: AdmissionState, configuration: Configuration
+) -> Step:
+    return apply_stated_rate(state, event, configuration)
+
+
 @_reduce.register
 def _on_drain(event: DrainRequested, state: AdmissionState, configuration: Configuration) -> Step:
     return start_or_refuse_waiting(
--- a/packages/core/src/bamboonotch_core/admission/_state.py
+++ b/packages/core/src/bamboonotch_core/admission/_state.py
@@ -11,6 +11,7 @@
 from bamboonotch_core.admission._limit import ConcurrencyLimit
 from bamboonotch_core.admission._memory import AttemptMemory
 from bamboonotch_core.admission._queue import ClassQueue
+from bamboonotch_core.rate_limit import RateLimit
 from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.settings import NodeSettings
 
@@ -55,6 +56,8 @@
     :param announced_ms: time of its last announcement, on the monotonic clock.
     :param ramp_start_ms: start of its ramp, on the monotonic clock: when it first announced itself
         after it was stopped or replaced.
+    :param instance_id: id of its process, or empty when it gives none.
+    :param started_unix_ms: when its process started, in milliseconds since 1970, or 0.
     """
 
     service: str
@@ -63,6 +66,8 @@
     state: str
     announced_ms: float
     ramp_start_ms: float
+    instance_id: str = ""
+    started_unix_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -146,6 +151,7 @@
     :param queues: queues that are not empty, by key.
     :param claimed: ids of claimed attempts that wait for a slot, oldest claim first.
     :param limit: adaptive concurrency limit.
+    :param rate_limit: rate that the backend server has named, or ``None``.
     :param send_times: how long responses occupy this node's link, by class name; only of classes
         that have had a response that is paced.
     :param memory: attempts that ended or were fenced, as far as they are still remembered.
@@ -171,6 +177,7 @@
     queues: Map[QueueKey, ClassQueue] = field(default_factory=Map)
     claimed: tuple[str, ...] = ()
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
+    rate_limit: RateLimit | None = None
     send_times: Map[str, SendTime] = field(default_factory=Map)
     memory: AttemptMemory = field(default_factory=AttemptMemory)
 
--- a/packages/core/src/bamboonotch_core/errors.py
+++ b/packages/core/src/bamboonotch_core/errors.py
@@ -11,6 +11,7 @@
     "LogEntryError",
     "MessageError",
     "PatchError",
+    "RateLimitError",
     "SettingsError",
     "StoreError",
     "StoreUnavailableError",
@@ -57,6 +58,10 @@
     """A message from another node is malformed or exceeds a limit."""
 
 
+class RateLimitError(BamboonotchError):
+    """A backend server named a rate limit that is malformed."""
+
+
 class SettingsError(BamboonotchError):
     """A settings file holds an unknown key or a value that is not allowed."""
 
--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "BackendServerAnnounced",
+    "BackendServerStated",
     "DepartureRecalled",
     "DocumentRead",
     "DocumentRefused",
@@ -297,6 +298,21 @@
     heard_unix_ms: int = 0
 
 
+@dataclass(frozen=True)
+class BackendServerStated(Event):
+    """The backend server beside this node said something of itself in a response.
+
+    :param instance_id: id of the process that the request was meant for, or empty.
+    :param started_unix_ms: when that process started, in milliseconds since 1970, or 0.
+    :param rate_limit_per_s: requests a second that it takes from all nodes together; ``None`` when
+        it names no limit.
+    """
+
+    instance_id: str
+    started_unix_ms: int
+    rate_limit_per_s: float | None
+
+
 @dataclass(frozen=True)
 class DepartureRecalled(Event):
     """An earlier process of this node had acknowledged that a backend server leaves.
--- a/packages/core/src/bamboonotch_core/member_record.py
+++ b/packages/core/src/bamboonotch_core/member_record.py
@@ -36,6 +36,8 @@
     :param state: state of the backend server as its node sees it, or of the node as others see it.
     :param relay_slot: relay slot that the node holds, or -1.
     :param link_mbps: rate of the VM's link, in megabits per second; 0 when it is not known.
+    :param rate_limit_per_s: requests a second that the backend server takes from all nodes
+        together; ``None`` when it names no limit.
     """
 
     node_id: str
@@ -51,6 +53,7 @@
     state: MemberState
     relay_slot: int
     link_mbps: float = 0.0
+    rate_limit_per_s: float | None = None
 
 
 def state_rank(state: MemberState) -> int:
--- a/packages/core/src/bamboonotch_core/membership/_hashing.py
+++ b/packages/core/src/bamboonotch_core/membership/_hashing.py
@@ -37,5 +37,6 @@
         record.state.value,
         str(record.relay_slot),
         str(record.link_mbps),
+        *(() if record.rate_limit_per_s is None else (str(record.rate_limit_per_s),)),
     )
     return _hash_text(_FIELD_SEPARATOR.join(fields))
--- a/packages/core/src/bamboonotch_core/membership/_own.py
+++ b/packages/core/src/bamboonotch_core/membership/_own.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bamboonotch_core.events import BackendServerAnnounced
+from bamboonotch_core.events import BackendServerAnnounced, BackendServerStated
 from bamboonotch_core.member_record import MemberRecord, MemberState
 from bamboonotch_core.membership._merge import publish_own
 from bamboonotch_core.membership._state import BackendServer, OwnState
@@ -13,6 +13,7 @@
 __all__ = [
     "check_announcement_age",
     "handle_announcement",
+    "handle_stated_rate",
     "refresh_own_record",
     "restart_announcement_clock",
     "set_relay_slot",
@@ -29,10 +30,29 @@
         # A departure before the first announcement names no server that could be marked stopped.
         return
     state = ANNOUNCED_STATES[event.state]
-    server = BackendServer(event.service, event.address, event.slots, state, event.now_ms)
+    server = BackendServer(
+        event.service,
+        event.address,
+        event.slots,
+        state,
+        event.now_ms,
+        event.instance_id,
+        event.started_unix_ms,
+    )
+    before = step.state.own.backend_server
+    if before is not None and before.is_same_process(server):
+        server = replace_fields(server, rate_limit_per_s=before.rate_limit_per_s)
     step.change_own(backend_server=server)
 
 
+def handle_stated_rate(step: Step, event: BackendServerStated) -> None:
+    """Store the rate limit that a response of the backend server named."""
+    server = step.state.own.backend_server
+    if server is not None and server.rate_limit_per_s != event.rate_limit_per_s:
+        limited = replace_fields(server, rate_limit_per_s=event.rate_limit_per_s)
+        step.change_own(backend_server=limited)
+
+
 def check_announcement_age(step: Step) -> None:
     """Mark the backend server stopped if it has not announced itself in time."""
     server = step.state.own.backend_server
@@ -61,14 +81,18 @@
 
 
 def refresh_own_record(step: Step) -> None:
-    """Publish the own record if its service, slots or state have changed."""
+    """Publish the own record if its service, slots, rate limit or state have changed."""
     own = step.own_record
     server = step.state.own.backend_server
     service = "" if server is None else server.service
     slots = 0 if server is None else server.slots
+    rate_limit_per_s = None if server is None else server.rate_limit_per_s
     state = _decide_state(step.state.own, step.versions.serving)
-    if (service, slots, state) != (own.service, own.slots, own.state):
-        changed = replace_fields(own, service=service, slots=slots, state=state)
+    published = (own.service, own.slots, own.rate_limit_per_s, own.state)
+    if (service, slots, rate_limit_per_s, state) != published:
+        changed = replace_fields(
+            own, service=service, slots=slots, rate_limit_per_s=rate_limit_per_s, state=state
+        )
         publish_own(step, _raise_sequence(changed))
 
 
--- a/packages/core/src/bamboonotch_core/membership/_reducer.py
+++ b/packages/core/src/bamboonotch_core/membership/_reducer.py
@@ -7,6 +7,7 @@
 from bamboonotch_core.effects import CompeteForSlot
 from bamboonotch_core.events import (
     BackendServerAnnounced,
+    BackendServerStated,
     DrainRequested,
     Event,
     LinkClosed,
@@ -47,6 +48,7 @@
 from bamboonotch_core.membership._own import (
     check_announcement_age,
     handle_announcement,
+    handle_stated_rate,
     refresh_own_record,
     restart_announcement_clock,
     set_relay_slot,
@@ -186,6 +188,11 @@
     handle_announcement(step, event)
 
 
+@_handle.register
+def _(event: BackendServerStated, step: Step) -> None:
+    handle_stated_rate(step, event)
+
+
 @_handle.register
 def _(event: DrainRequested, step: Step) -> None:
     step.change_own(operator_drain=True)
--- a/packages/core/src/bamboonotch_core/membership/_state.py
+++ b/packages/core/src/bamboonotch_core/membership/_state.py
@@ -64,6 +64,10 @@
     :param slots: requests that it runs concurrently.
     :param state: ``ready``, ``draining`` or ``stopped``.
     :param announced_ms: time of the last announcement on the monotonic clock, in milliseconds.
+    :param instance_id: id of its process, or empty when it gives none.
+    :param started_unix_ms: when its process started, in milliseconds since 1970, or 0.
+    :param rate_limit_per_s: requests a second that it takes from all nodes together; ``None`` when
+        it names no limit.
     """
 
     service: str
@@ -71,6 +75,17 @@
     slots: int
     state: MemberState
     announced_ms: float
+    instance_id: str = ""
+    started_unix_ms: int = 0
+    rate_limit_per_s: float | None = None
+
+    def is_same_process(self, other: BackendServer) -> bool:
+        """Tell whether another announcement is of the same process.
+
+        :param other: what the other announcement said.
+        """
+        mine = (self.address, self.instance_id, self.started_unix_ms)
+        return mine == (other.address, other.instance_id, other.started_unix_ms)
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/outcomes/_reasons.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reasons.py
@@ -24,6 +24,7 @@
     OTHER_INCARNATION = "other-incarnation"
     QUEUE_FULL = "queue-full"
     QUEUE_TIMEOUT = "queue-timeout"
+    RATE_LIMITED = "rate-limited"
     TOO_LATE = "cannot-start-in-time"
     UPLINK_FULL = "cannot-send-in-time"
     UNKNOWN_CLASS = "unknown-class"
@@ -35,11 +36,13 @@
         RefusalReason.EVICTED,
         RefusalReason.QUEUE_FULL,
         RefusalReason.QUEUE_TIMEOUT,
+        RefusalReason.RATE_LIMITED,
         RefusalReason.TOO_LATE,
         RefusalReason.UPLINK_FULL,
     }
 )
-"""Reasons of refusals that occur when there is more work than slots, or than the link carries."""
+"""Reasons of refusals that occur when there is more work than slots, than the link carries or than
+the backend server has named."""
 
 BUSY_REASONS = OVERLOAD_REASONS | {
     RefusalReason.BACKEND_NOT_RUN,
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -8,7 +8,12 @@
 
 from bamboonotch_core._membership_view import refresh_view
 from bamboonotch_core._slot_competition import wants_slot
-from bamboonotch_core.admission import begin_shutdown, is_idle, reduce_admission, with_incarnation
+from bamboonotch_core.admission import (
+    begin_shutdown,
+    is_idle,
+    reduce_admission,
+    with_incarnation,
+)
 from bamboonotch_core.announcements import is_new_departure, is_outdated
 from bamboonotch_core.distribution import (
     DistributionState,
@@ -26,6 +31,7 @@
 )
 from bamboonotch_core.events import (
     BackendServerAnnounced,
+    BackendServerStated,
     DepartureRecalled,
     DrainRequested,
     Event,
@@ -44,6 +50,7 @@
     routing_generation,
 )
 from bamboonotch_core.outcomes import end_requests, reduce_outcomes
+from bamboonotch_core.rate_limit import RateLimit
 from bamboonotch_core.replace import replace_fields
 from bamboonotch_core.request_events import (
     BackendFinished,
@@ -225,6 +232,33 @@
     return Transition(transition.state, (*transition.effects, KeepDeparture(event)))
 
 
+@_reduce_event.register
+def _(event: BackendServerStated, state: NodeState) -> NodeTransition:
+    """Apply what a response said, unless it is of an earlier process at the same address."""
+    latest = state.announcement
+    process = (event.instance_id, event.started_unix_ms)
+    if latest is None or (latest.instance_id, latest.started_unix_ms) != process:
+        return Transition(state)
+    before = state.admission.rate_limit
+    transition = _reduce_all(event, state)
+    if event.rate_limit_per_s == (None if before is None else before.named_per_s):
+        return transition
+    report = _make_rate_report(latest, before, event)
+    return Transition(transition.state, (report, *transition.effects))
+
+
+def _make_rate_report(
+    latest: BackendServerAnnounced, before: RateLimit | None, event: BackendServerStated
+) -> Report:
+    fields = (
+        ("service", latest.service),
+        ("instance_id", event.instance_id),
+        ("before_per_s", "none" if before is None else before.named_per_s),
+        ("per_s", "none" if event.rate_limit_per_s is None else event.rate_limit_per_s),
+    )
+    return Report("rate-limit-named", fields)
+
+
 @_reduce_event.register
 def _(event: DepartureRecalled, state: NodeState) -> NodeTransition:
     """Take over what an earlier process had acknowledged, unless a later server is there."""
--- a/packages/core/src/bamboonotch_core/request_effects.py
+++ b/packages/core/src/bamboonotch_core/request_effects.py
@@ -163,12 +163,14 @@
     :param queued: attempts in all queues.
     :param service_ms: smoothed service time of all classes, in milliseconds; 0 before the first
         answer.
+    :param rate_limit_per_s: requests a second that the backend server takes; ``None`` for no limit.
     """
 
     slots_held: int
     limit_slots: float
     queued: int
     service_ms: float
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/routing/_costs.py
+++ b/packages/core/src/bamboonotch_core/routing/_costs.py
@@ -10,6 +10,7 @@
 
 from dataclasses import dataclass
 
+from bamboonotch_core.rate_limit import MIN_RATE_PER_S
 from bamboonotch_core.routing._candidates import Distance
 from bamboonotch_core.routing._owner_view import (
     OwnerView,
@@ -43,6 +44,7 @@
 FAILURE_RETENTION_MS = 1000.0
 WORK_SMOOTHING_FACTOR = 0.05
 KILOBYTE = 1024.0
+MS_PER_S = 1000.0
 # Responses up to this size leave at once and do not wait for the bodies before them.
 SMALL_RESPONSE_KB = 16.0
 
@@ -80,6 +82,20 @@
     )
 
 
+def _rate_wait_ms(rate_limit_per_s: float, load: float, service_ms: float) -> float:
+    """Return how long an arrival waits for the rate that a backend server has named.
+
+    An owner without work has a request to spare, so one whose backend server names a low rate is
+    still sent one now and then, and hears when the rate rises.
+
+    :param load: requests at the owner, of which those that run do not wait for the rate.
+    :param service_ms: service time of the request at the owner, in milliseconds.
+    """
+    rate_per_s = max(MIN_RATE_PER_S, rate_limit_per_s)
+    running = max(1.0, rate_per_s * service_ms / MS_PER_S)
+    return max(0.0, load + 1.0 - running) / rate_per_s * MS_PER_S
+
+
 def expected_cost_ms(
     owner: Owner, view: OwnerView, distance: int, work: WorkEstimate, now_ms: float
 ) -> float:
@@ -93,13 +109,12 @@
     reported = decayed_load(view, now_ms)
     # The reported load may already include this node's own requests; the larger is the queue.
     load = max(reported, float(view.in_flight))
-    slots = owner.slots
-    wait_in_service_times = max(0.0, (load + 1.0 - slots) / slots)
     service_ms = work.service_ms * decayed_service_time_ratio(view, now_ms)
-    cost_ms = (
-        service_ms * (1.0 + wait_in_service_times)
-        + UTILISATION_COST_MS * (reported + view.in_flight) / slots
-    )
+    slots = owner.slots
+    wait_ms = max(0.0, (load + 1.0 - slots) / slots) * service_ms
+    if owner.rate_limit_per_s is not None:
+        wait_ms = max(wait_ms, _rate_wait_ms(owner.rate_limit_per_s, load, service_ms))
+    cost_ms = service_ms + wait_ms + UTILISATION_COST_MS * (reported + view.in_flight) / slots
     cost_ms += DISTANCE_COST_MS[distance] + DISTANCE_COST_MS_PER_KB[distance] * work.response_kb
     if work.response_kb > SMALL_RESPONSE_KB and distance != Distance.SAME_VM:
         cost_ms += remaining_uplink_ms(view, now_ms)
--- a/packages/core/src/bamboonotch_core/routing/_table.py
+++ b/packages/core/src/bamboonotch_core/routing/_table.py
@@ -41,6 +41,7 @@
     :param peer_address: ``ip:port`` that accepts streams of other nodes.
     :param slots: requests that its backend server runs at once.
     :param suspect: whether a neighbour reports that the node does not answer.
+    :param rate_limit_per_s: requests a second that its backend server takes; ``None`` for no limit.
     """
 
     node_id: str
@@ -50,6 +51,7 @@
     data_centre: str
     slots: int
     suspect: bool
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -130,6 +132,7 @@
         data_centre=record.data_centre,
         slots=record.slots,
         suspect=record.state is MemberState.SUSPECT,
+        rate_limit_per_s=record.rate_limit_per_s,
     )
 
 
--- a/packages/node/src/bamboonotch_node/backend/_client.py
+++ b/packages/node/src/bamboonotch_node/backend/_client.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from bamboonotch_core.effects import Report
+from bamboonotch_core.errors import RateLimitError
+from bamboonotch_core.events import BackendServerStated
 from bamboonotch_core.request_events import BackendResult
 from bamboonotch_node.backend._connections import BackendConnections
 from bamboonotch_node.backend._exchange import BackendExchange
@@ -22,6 +25,7 @@
     :param load: returns the number of attempts in slots and queue, sent with each response.
     :param report: called with a report for each fault.
     :param dialect: header names and rules of the HTTP that the backend server speaks.
+    :param stated: takes what the backend server says of itself, when that has changed.
     """
 
     def __init__(
@@ -31,13 +35,20 @@
         load: Callable[[], int],
         report: Callable[[Report], None],
         dialect: HttpDialect = OWN_DIALECT,
+        stated: Callable[[BackendServerStated], None] = lambda event: None,
     ) -> None:
+        self._report = report
+        self._stated = stated
+        self._latest_statement: BackendServerStated | None = None
+        self._stating_address = ""
+        self._latest_fault = ""
         self._connections = BackendConnections(reactor, report, clock)
         self._clock = clock
         self.load = load
         self._dialect = dialect
         self.address = ""
         self.instance_id = ""
+        self.started_unix_ms = 0
 
     def prepare(
         self,
@@ -55,6 +66,7 @@
         """
         if not self.address:
             return None
+        process = (self.instance_id, self.started_unix_ms)
         return BackendExchange(
             work=work,
             address=self.address,
@@ -66,8 +78,33 @@
             load=self.load,
             dialect=self._dialect,
             instance_id=self.instance_id,
+            head_received=lambda headers: self._read_statement(process, headers),
         )
 
+    def _read_statement(self, process: tuple[str, int], headers: Any) -> None:
+        """Pass on what a response says of its backend server, when that has changed.
+
+        A malformed value says nothing, so what was said before holds on.
+
+        :param process: id and start time of the process that the request was meant for.
+        :param headers: the library's headers.
+        """
+        try:
+            rate_limit_per_s = self._dialect.read_rate_limit(headers)
+        except RateLimitError as error:
+            if str(error) != self._latest_fault:
+                self._latest_fault = str(error)
+                self._report(Report("malformed-rate-limit", (("fault", str(error)),)))
+            return
+        if self.address != self._stating_address:
+            self._latest_statement, self._stating_address = None, self.address
+        latest = self._latest_statement
+        statement = BackendServerStated(self._clock(), *process, rate_limit_per_s)
+        if latest is not None and replace(latest, now_ms=statement.now_ms) == statement:
+            return
+        self._latest_statement = statement
+        self._stated(statement)
+
     def close(self) -> None:
         """Close the idle connections to the backend server."""
         self._connections.close()
--- a/packages/node/src/bamboonotch_node/backend/_exchange.py
+++ b/packages/node/src/bamboonotch_node/backend/_exchange.py
@@ -126,6 +126,7 @@
     :param load: returns the number of attempts in slots and queue.
     :param dialect: header names and rules of the HTTP that the backend server speaks.
     :param instance_id: id of the backend server process that the request is meant for, or empty.
+    :param head_received: takes the headers of a response of that process, also of a refusal.
     """
 
     def __init__(
@@ -140,7 +141,9 @@
         load: Callable[[], int],
         dialect: HttpDialect,
         instance_id: str,
+        head_received: Callable[[Any], None] = lambda headers: None,
     ) -> None:
+        self._note_head = head_received
         self._dialect = dialect
         self._instance_id = instance_id
         self._sent_request_id = ""
@@ -282,6 +285,8 @@
         )
         if not of_other_request and self._dialect.is_not_run(response.code, response.headers):
             if self._is_refusal_of_this_send(response):
+                if response.code != self._dialect.misdirected_status:
+                    self._note_head(response.headers)
                 self._discard_refusal(response)
             else:
                 self._body_protocol = None
@@ -291,6 +296,7 @@
             self._body_protocol = None
             self.abort()
             return
+        self._note_head(response.headers)
         headers = _response_headers(response)
         if not _is_within_bounds(response.code, headers):
             self._body_protocol = None
--- a/packages/node/src/bamboonotch_node/dialect.py
+++ b/packages/node/src/bamboonotch_node/dialect.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import Any
 
+from bamboonotch_core.errors import RateLimitError
+
 __all__ = ["OWN_DIALECT", "HttpDialect"]
 
+DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+
 
 @dataclass(frozen=True)
 class HttpDialect:
@@ -25,6 +30,7 @@
     :param not_run_status: status that the response must have besides; 0 for any status.
     :param misdirected_status: status which says that another process was expected; 0 for none.
     :param proof: header that every response made by a backend server's work has.
+    :param rate_limit: requests a second that the backend server takes, as a decimal number.
     :param echoes_request_id: whether a response repeats the request id.
     :param retry_after_decimals: digits after the decimal point of ``Retry-After``.
     :param trusts_close: whether a body without a length is complete when its connection ends
@@ -42,6 +48,7 @@
     not_run_status: int = 503
     misdirected_status: int = 0
     proof: bytes = b""
+    rate_limit: bytes = b"bamboonotch-rate-limit"
     echoes_request_id: bool = False
     retry_after_decimals: int = 0
     trusts_close: bool = False
@@ -84,6 +91,21 @@
         values = headers.getRawHeaders(self.request_id, [])
         return bool(values) and values != [request_id.encode("latin-1")]
 
+    def read_rate_limit(self, headers: Any) -> float | None:
+        """Return the requests a second that a backend server takes; ``None`` for no limit.
+
+        :param headers: the library's headers.
+        :raises RateLimitError: when there are several values, or the value is no decimal number.
+        """
+        values = headers.getRawHeaders(self.rate_limit, []) if self.rate_limit else []
+        if not values:
+            return None
+        if len(values) > 1:
+            raise RateLimitError(f"response has {len(values)} rate limits, not one")
+        if DECIMAL_NUMBER.fullmatch(values[0].strip()) is None:
+            raise RateLimitError(f"rate limit {values[0]!r:.40} is no number of requests a second")
+        return float(values[0])
+
     def names_request(self, headers: Any) -> bool:
         """Tell whether a response names the request that it belongs to.
 
--- a/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_request_path.py
@@ -64,7 +64,7 @@
         requests = settings.requests
         in_force = request_settings or (lambda: requests)
         orphan_ms = requests.stream_silent_ms + SILENCE_CHECK_MS + requests.fence_timeout_ms
-        self.backend = BackendClient(reactor, clock, load, report, dialect)
+        self.backend = BackendClient(reactor, clock, load, report, dialect, dispatch)
         self.uplink = Uplink(settings.identity.link_mbps, uplink_waited)
         self.owner = OwnerSide(self.backend, dispatch, clock, orphan_ms, self.uplink)
         self.server = ForwardingServer(
--- a/packages/node/src/bamboonotch_node/metrics.py
+++ b/packages/node/src/bamboonotch_node/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats import text
 
@@ -49,6 +51,9 @@
         )
         self._versions = add(Gauge("configuration_version", "Held and running version"))
         self._serving = add(Gauge("serving", "1 while the node serves requests"))
+        self._rate_limit = add(
+            Gauge("backend_rate_limit_per_s", "Requests a second named by the backend server")
+        )
         self._members = add(Gauge("members", "Members known, by state"))
         self._convergence = add(
             Histogram(
@@ -114,6 +119,13 @@
         self._versions.set({"kind": "running"}, running)
         self._serving.set({}, int(serving))
 
+    def set_rate_limit(self, rate_limit_per_s: float | None) -> None:
+        """Set the gauge of the rate that the backend server takes.
+
+        :param rate_limit_per_s: requests a second; ``None`` for no limit, shown as infinity.
+        """
+        self._rate_limit.set({}, math.inf if rate_limit_per_s is None else rate_limit_per_s)
+
     def set_members(self, counts: dict[str, int]) -> None:
         """Set the member gauges.
 
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -244,6 +244,8 @@
             distribution.held_version, distribution.running_version, distribution.serving
         )
         self._metrics.set_members(views.count_members(self._state))
+        rate_limit = self._state.admission.rate_limit
+        self._metrics.set_rate_limit(None if rate_limit is None else rate_limit.named_per_s)
         return self._metrics.render()
 
     async def _listen(self, address: str, factory: Any, stack: contextlib.AsyncExitStack) -> None:
@@ -271,6 +273,7 @@
             announcement = transition.state.announcement
             if announcement is not None:
                 self._path.backend.instance_id = announcement.instance_id
+                self._path.backend.started_unix_ms = announcement.started_unix_ms
         for effect in transition.effects:
             self._perform(effect)
         if transition.state.distribution is not before.distribution:
--- a/packages/node/tests/backend/test_dialect.py
+++ b/packages/node/tests/backend/test_dialect.py
@@ -7,6 +7,7 @@
 
 from twisted.web.http_headers import Headers
 
+from bamboonotch_core.errors import RateLimitError
 from bamboonotch_node.dialect import OWN_DIALECT
 
 OTHER_DIALECT = replace(
@@ -42,6 +43,29 @@
         self.assertTrue(OTHER_DIALECT.is_not_run(421, Headers()))
 
 
+class RateLimitTest(unittest.TestCase):
+    """Values of the header in which a backend server names a rate."""
+
+    def read(self, *values: str) -> float | None:
+        """Read a response with such headers."""
+        return OWN_DIALECT.read_rate_limit(Headers({"Bamboonotch-Rate-Limit": list(values)}))
+
+    def test_numbers(self) -> None:
+        """Guards against a named rate that is misread or overlooked."""
+        self.assertEqual(self.read("18.6"), 18.6)
+        self.assertEqual(self.read(" 0 "), 0.0)
+        self.assertIsNone(OWN_DIALECT.read_rate_limit(Headers()))
+        self.assertIsNone(replace(OWN_DIALECT, rate_limit=b"").read_rate_limit(Headers()))
+
+    def test_malformed(self) -> None:
+        """Guards against a rate that is no number and stops or frees all work."""
+        for value in ("-1", "nan", "inf", "1e999", "9" * 1000, "a few", "", "1.", "0x10", "1,5"):
+            with self.subTest(value=value[:20]), self.assertRaises(RateLimitError):
+                self.read(value)
+        with self.assertRaises(RateLimitError):
+            self.read("5", "7")
+
+
 class BelongingTest(unittest.TestCase):
     """Responses that belong to another request, or to none."""
 
--- a/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
+++ b/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
@@ -124,6 +124,8 @@
     :param reactor: Twisted reactor.
     :param plan: what it is.
     :param control_address: ``ip:port`` for its announcements.
+
+    ``rate_limits`` holds the values of the header in which its responses name a rate.
     """
 
     def __init__(self, reactor: Any, plan: BackendPlan, control_address: str) -> None:
@@ -132,6 +134,7 @@
         self._control_address = control_address
         self.answer = Answer.WHOLE
         self.state = "ready"
+        self.rate_limits: tuple[str, ...] = ()
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
         self.cancelled = 0
@@ -298,6 +301,8 @@
         request_id = "0" * 16 if answer is Answer.FOREIGN else run.request_id
         signature = f"{run.request_id}.1"
         request.setHeader("Attempt-Id", request_id)
+        for rate_limit in self.rate_limits:
+            request.responseHeaders.addRawHeader("Server-Limit", rate_limit)
         request.setHeader("Server-Load", f"{self._running},{len(self._waiting)},{self.plan.slots}")
         if answer is not Answer.UNSIGNED:
             request.setHeader("Response-Signature", signature)
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -40,6 +40,7 @@
 MAX_TEXT_CHARACTERS = 128
 MAX_WITNESSES = 64
 MAX_LINK_MBPS = 1_000_000.0
+MAX_RATE_LIMIT_PER_S = 1e9
 
 _STATE_TO_WIRE: dict[MemberState, Any] = {
     state: pb.MemberState.Value(f"MEMBER_STATE_{state.name}") for state in MemberState
@@ -153,6 +154,7 @@
         state=_STATE_TO_WIRE[record.state],
         relay_slot=record.relay_slot,
         link_mbps=record.link_mbps,
+        rate_limit_per_s=record.rate_limit_per_s,
     )
 
 
@@ -271,6 +273,15 @@
     return value
 
 
+def _check_rate_limit(body: Any) -> float | None:
+    if not body.HasField("rate_limit_per_s"):
+        return None
+    # Written so that a value that is not a number is refused as well.
+    if not 0 <= body.rate_limit_per_s <= MAX_RATE_LIMIT_PER_S:
+        raise MessageError(f"rate limit {body.rate_limit_per_s} of a member is out of range")
+    return float(body.rate_limit_per_s)
+
+
 def _decode_record(body: Any) -> MemberRecord:
     state = _STATE_FROM_WIRE.get(body.state)
     if state is None:
@@ -289,6 +300,7 @@
         state=state,
         relay_slot=body.relay_slot,
         link_mbps=_check_link_mbps(body.link_mbps),
+        rate_limit_per_s=_check_rate_limit(body),
     )
 
 
