Take a response that says that its backend server leaves as its departure

Nothing read that header: a server whose heartbeats are late or lost went on getting work.

The owner stops new work and hands queued work back as not run at once, the state goes out as draining, the departure is kept in the store for the next process of the node, and no heartbeat of the same process takes it back. A late response of an earlier process at the address is not heard; the next process is ready.

--- a/packages/core/src/bamboonotch_core/announcements.py
+++ b/packages/core/src/bamboonotch_core/announcements.py
@@ -7,11 +7,53 @@
 from __future__ import annotations
 
 from bamboonotch_core.events import BackendServerAnnounced
+from bamboonotch_core.replace import replace_fields
 
-__all__ = ["LEAVING_STATES", "is_new_departure", "is_outdated"]
+__all__ = [
+    "LEAVING_STATES",
+    "is_new_departure",
+    "is_outdated",
+    "make_departure",
+    "with_known_departure",
+]
 
+READY = "ready"
+DRAINING = "draining"
 STOPPED = "stopped"
-LEAVING_STATES = frozenset({"draining", STOPPED})
+LEAVING_STATES = frozenset({DRAINING, STOPPED})
+
+
+def _process(announcement: BackendServerAnnounced) -> tuple[str, int]:
+    return announcement.instance_id, announcement.started_unix_ms
+
+
+def make_departure(latest: BackendServerAnnounced, now_ms: float) -> BackendServerAnnounced:
+    """Return the announcement of a process whose response says that it leaves.
+
+    :param latest: what the process announced last.
+    :param now_ms: monotonic clock, in milliseconds.
+    """
+    state = latest.state if latest.state in LEAVING_STATES else DRAINING
+    return replace_fields(latest, now_ms=now_ms, state=state, leaving=True)
+
+
+def with_known_departure(
+    latest: BackendServerAnnounced | None, event: BackendServerAnnounced
+) -> BackendServerAnnounced:
+    """Return an announcement, as draining when a response of its process said that it leaves.
+
+    A heartbeat may have been sent before that response, and be heard after it. Without an id, a
+    process cannot be told from the next one, so its announcements stand as they are.
+
+    :param latest: the latest announcement taken before, or ``None``.
+    :param event: the announcement.
+    """
+    if latest is None or not latest.leaving or not event.instance_id:
+        return event
+    if _process(latest) != _process(event):
+        return event
+    state = DRAINING if event.state == READY else event.state
+    return replace_fields(event, state=state, leaving=True)
 
 
 def is_new_departure(latest: BackendServerAnnounced | None, event: BackendServerAnnounced) -> bool:
@@ -26,8 +68,7 @@
         return False
     if latest is None or latest.state not in LEAVING_STATES:
         return True
-    process = (event.instance_id, event.started_unix_ms)
-    return (latest.instance_id, latest.started_unix_ms) != process
+    return _process(latest) != _process(event)
 
 
 def is_outdated(latest: BackendServerAnnounced | None, event: BackendServerAnnounced) -> bool:
@@ -38,7 +79,7 @@
     """
     if latest is None:
         return False
-    if latest.instance_id == event.instance_id and latest.started_unix_ms == event.started_unix_ms:
+    if _process(latest) == _process(event):
         if latest.state == STOPPED:
             # A process that has said that it ends does not come back; a heartbeat was on its way.
             return True
--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -285,6 +285,8 @@
     :param sequence: rises with each announcement of one process; ``None`` when not given.
     :param cold_ms: how much longer it is slow after its start, in milliseconds.
     :param heard_unix_ms: when this node heard it, in milliseconds since 1970, or 0 when not noted.
+    :param leaving: whether a response of the process said that it leaves; then it does not get
+        ready again.
     """
 
     service: str
@@ -296,6 +298,7 @@
     sequence: int | None = None
     cold_ms: float = 0.0
     heard_unix_ms: int = 0
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
@@ -306,11 +309,13 @@
     :param started_unix_ms: when that process started, in milliseconds since 1970, or 0.
     :param rate_limit_per_s: requests a second that it takes from all nodes together; ``None`` when
         it names no limit.
+    :param leaving: whether it leaves and takes no new requests.
     """
 
     instance_id: str
     started_unix_ms: int
     rate_limit_per_s: float | None
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -14,7 +14,12 @@
     reduce_admission,
     with_incarnation,
 )
-from bamboonotch_core.announcements import is_new_departure, is_outdated
+from bamboonotch_core.announcements import (
+    is_new_departure,
+    is_outdated,
+    make_departure,
+    with_known_departure,
+)
 from bamboonotch_core.distribution import (
     DistributionState,
     MembershipView,
@@ -225,6 +230,11 @@
             ("sequence", -1 if event.sequence is None else event.sequence),
         )
         return Transition(state, (Report("announcement-outdated", fields),))
+    return _take_announcement(with_known_departure(state.announcement, event), state)
+
+
+def _take_announcement(event: BackendServerAnnounced, state: NodeState) -> NodeTransition:
+    """Apply an announcement, and keep a departure for the next process of this node."""
     departure = is_new_departure(state.announcement, event)
     transition = _reduce_all(event, replace_fields(state, announcement=event))
     if not departure:
@@ -239,6 +249,18 @@
     process = (event.instance_id, event.started_unix_ms)
     if latest is None or (latest.instance_id, latest.started_unix_ms) != process:
         return Transition(state)
+    limited = _apply_rate(event, latest, state)
+    if not event.leaving or latest.leaving:
+        return limited
+    fields = (("service", latest.service), ("instance_id", event.instance_id))
+    left = _take_announcement(make_departure(latest, event.now_ms), limited.state)
+    report = Report("backend-server-leaves", fields)
+    return Transition(left.state, (*limited.effects, report, *left.effects))
+
+
+def _apply_rate(
+    event: BackendServerStated, latest: BackendServerAnnounced, state: NodeState
+) -> NodeTransition:
     before = state.admission.rate_limit
     transition = _reduce_all(event, state)
     if event.rate_limit_per_s == (None if before is None else before.named_per_s):
--- a/packages/node/src/bamboonotch_node/backend/_client.py
+++ b/packages/node/src/bamboonotch_node/backend/_client.py
@@ -89,22 +89,29 @@
         :param process: id and start time of the process that the request was meant for.
         :param headers: the library's headers.
         """
-        try:
-            rate_limit_per_s = self._dialect.read_rate_limit(headers)
-        except RateLimitError as error:
-            if str(error) != self._latest_fault:
-                self._latest_fault = str(error)
-                self._report(Report("malformed-rate-limit", (("fault", str(error)),)))
-            return
         if self.address != self._stating_address:
             self._latest_statement, self._stating_address = None, self.address
         latest = self._latest_statement
-        statement = BackendServerStated(self._clock(), *process, rate_limit_per_s)
+        try:
+            rate_limit_per_s = self._dialect.read_rate_limit(headers)
+        except RateLimitError as error:
+            self._report_malformed(str(error))
+            is_known = (
+                latest is not None and (latest.instance_id, latest.started_unix_ms) == process
+            )
+            rate_limit_per_s = latest.rate_limit_per_s if latest is not None and is_known else None
+        leaving = self._dialect.says_leaving(headers)
+        statement = BackendServerStated(self._clock(), *process, rate_limit_per_s, leaving)
         if latest is not None and replace(latest, now_ms=statement.now_ms) == statement:
             return
         self._latest_statement = statement
         self._stated(statement)
 
+    def _report_malformed(self, fault: str) -> None:
+        if fault != self._latest_fault:
+            self._latest_fault = fault
+            self._report(Report("malformed-rate-limit", (("fault", fault),)))
+
     def close(self) -> None:
         """Close the idle connections to the backend server."""
         self._connections.close()
--- a/packages/node/src/bamboonotch_node/dialect.py
+++ b/packages/node/src/bamboonotch_node/dialect.py
@@ -31,6 +31,7 @@
     :param misdirected_status: status which says that another process was expected; 0 for none.
     :param proof: header that every response made by a backend server's work has.
     :param rate_limit: requests a second that the backend server takes, as a decimal number.
+    :param leaving: header with the value 1 in responses of a backend server that leaves.
     :param echoes_request_id: whether a response repeats the request id.
     :param retry_after_decimals: digits after the decimal point of ``Retry-After``.
     :param trusts_close: whether a body without a length is complete when its connection ends
@@ -49,6 +50,7 @@
     misdirected_status: int = 0
     proof: bytes = b""
     rate_limit: bytes = b"bamboonotch-rate-limit"
+    leaving: bytes = b"bamboonotch-leaving"
     echoes_request_id: bool = False
     retry_after_decimals: int = 0
     trusts_close: bool = False
@@ -106,6 +108,14 @@
             raise RateLimitError(f"rate limit {values[0]!r:.40} is no number of requests a second")
         return float(values[0])
 
+    def says_leaving(self, headers: Any) -> bool:
+        """Tell whether a response says that its backend server leaves.
+
+        :param headers: the library's headers.
+        """
+        values = headers.getRawHeaders(self.leaving, []) if self.leaving else []
+        return any(value.strip() == b"1" for value in values)
+
     def names_request(self, headers: Any) -> bool:
         """Tell whether a response names the request that it belongs to.
 
--- a/packages/node/tests/backend/test_dialect.py
+++ b/packages/node/tests/backend/test_dialect.py
@@ -66,6 +66,16 @@
             self.read("5", "7")
 
 
+class LeavingTest(unittest.TestCase):
+    """The header of a backend server that leaves."""
+
+    def test_values(self) -> None:
+        """Guards against a departure that is overlooked, or seen in an odd header."""
+        self.assertTrue(OWN_DIALECT.says_leaving(Headers({"Bamboonotch-Leaving": ["1"]})))
+        for headers in (Headers(), Headers({"Bamboonotch-Leaving": ["0"]})):
+            self.assertFalse(OWN_DIALECT.says_leaving(headers))
+
+
 class BelongingTest(unittest.TestCase):
     """Responses that belong to another request, or to none."""
 
--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -73,7 +73,8 @@
 
 
 def _encode_departure(announcement: BackendServerAnnounced) -> dict[str, Any]:
-    return {name: getattr(announcement, name) for name in DEPARTURE_FIELDS}
+    fields = {name: getattr(announcement, name) for name in DEPARTURE_FIELDS}
+    return {**fields, "leaving": announcement.leaving}
 
 
 def _parse_departure(data: bytes) -> BackendServerAnnounced | None:
@@ -90,7 +91,9 @@
             return None
     if raw["state"] not in LEAVING_STATES:
         return None
-    return BackendServerAnnounced(now_ms=0.0, **{name: raw[name] for name in DEPARTURE_FIELDS})
+    fields = {name: raw[name] for name in DEPARTURE_FIELDS}
+    # Entries of earlier versions have no such field.
+    return BackendServerAnnounced(now_ms=0.0, leaving=raw.get("leaving") is True, **fields)
 
 
 async def read_registered(store: SharedStore) -> MemberListing:
--- a/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
+++ b/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
@@ -125,7 +125,8 @@
     :param plan: what it is.
     :param control_address: ``ip:port`` for its announcements.
 
-    ``rate_limits`` holds the values of the header in which its responses name a rate.
+    ``rate_limits`` holds the values of the header in which its responses name a rate;
+    ``says_leaving`` is whether they say that it leaves.
     """
 
     def __init__(self, reactor: Any, plan: BackendPlan, control_address: str) -> None:
@@ -135,6 +136,7 @@
         self.answer = Answer.WHOLE
         self.state = "ready"
         self.rate_limits: tuple[str, ...] = ()
+        self.says_leaving = False
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
         self.cancelled = 0
@@ -301,6 +303,8 @@
         request_id = "0" * 16 if answer is Answer.FOREIGN else run.request_id
         signature = f"{run.request_id}.1"
         request.setHeader("Attempt-Id", request_id)
+        if self.says_leaving:
+            request.setHeader("Server-Leaving", "1")
         for rate_limit in self.rate_limits:
             request.responseHeaders.addRawHeader("Server-Limit", rate_limit)
         request.setHeader("Server-Load", f"{self._running},{len(self._waiting)},{self.plan.slots}")
