Let backend servers of the soak leave by their responses, and show named rates in explanations

The soak let servers leave by heartbeats only. Where a step's direction says so, its responses say it now and its heartbeats go on saying ready; the check counts from the first such response that reached a caller.

--- a/packages/core/src/bamboonotch_core/routing/_explain.py
+++ b/packages/core/src/bamboonotch_core/routing/_explain.py
@@ -64,6 +64,7 @@
     :param in_flight: attempts that this node sent to it and that have not ended.
     :param slots: requests that its backend server runs at once.
     :param ejected_until_ms: end of its ejection on the monotonic clock, in milliseconds, or 0.
+    :param rate_limit_per_s: requests a second that its backend server takes; ``None`` for no limit.
     """
 
     node_id: str
@@ -75,6 +76,7 @@
     in_flight: int
     slots: int
     ejected_until_ms: float
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -132,6 +134,7 @@
         in_flight=rating.view.in_flight,
         slots=rating.owner.slots,
         ejected_until_ms=rating.view.ejected_until_ms,
+        rate_limit_per_s=rating.owner.rate_limit_per_s,
     )
 
 
--- a/packages/core/tests/routing/test_rate_limit.py
+++ b/packages/core/tests/routing/test_rate_limit.py
@@ -8,7 +8,13 @@
 from immutables import Map
 
 from bamboonotch_core.replace import replace_fields
-from bamboonotch_core.routing import OwnerView, WorkEstimate, choose_owner, select_candidates
+from bamboonotch_core.routing import (
+    OwnerView,
+    WorkEstimate,
+    choose_owner,
+    explain_route,
+    select_candidates,
+)
 from bamboonotch_core.settings import RequestSettings
 from tests.routing.builders import make_record, make_settings, make_table
 
@@ -32,6 +38,15 @@
             chosen[choice.owner.node_id if choice.owner else ""] += 1
         return chosen
 
+    def test_explained(self) -> None:
+        """Guards against an operator who cannot see why an owner gets little work."""
+        limited = replace_fields(make_record("limited"), rate_limit_per_s=5.0)
+        explanation = explain_route(
+            make_table(limited, make_record("free")), "POST", "/orders", make_settings("ingress")
+        )
+        rates = {owner.node_id: owner.rate_limit_per_s for owner in explanation.owners}
+        self.assertEqual(rates, {"limited": 5.0, "free": None})
+
     def test_work_goes_elsewhere_before_it_is_refused(self) -> None:
         """Guards against work for an owner without rate while another has free slots."""
         self.assertEqual(self.choose(in_flight=2), Counter({"free": 100}))
--- a/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
+++ b/packages/testing/src/bamboonotch_testing/platform_backend/_server.py
@@ -126,7 +126,8 @@
     :param control_address: ``ip:port`` for its announcements.
 
     ``rate_limits`` holds the values of the header in which its responses name a rate;
-    ``says_leaving`` is whether they say that it leaves.
+    ``says_leaving`` is whether they say that it leaves, and ``told_leaving_ids`` the requests of
+    those that did.
     """
 
     def __init__(self, reactor: Any, plan: BackendPlan, control_address: str) -> None:
@@ -137,6 +138,7 @@
         self.state = "ready"
         self.rate_limits: tuple[str, ...] = ()
         self.says_leaving = False
+        self.told_leaving_ids: list[str] = []
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
         self.cancelled = 0
@@ -305,6 +307,7 @@
         request.setHeader("Attempt-Id", request_id)
         if self.says_leaving:
             request.setHeader("Server-Leaving", "1")
+            self.told_leaving_ids.append(run.request_id)
         for rate_limit in self.rate_limits:
             request.responseHeaders.addRawHeader("Server-Limit", rate_limit)
         request.setHeader("Server-Load", f"{self._running},{len(self._waiting)},{self.plan.slots}")
--- a/packages/testing/src/bamboonotch_testing/soak/_faults.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_faults.py
@@ -135,18 +135,34 @@
     async def _leave(self, place: Place, step: Step) -> None:
         backend = place.backend
         instance_id = backend.plan.instance_id
-        if backend.state != "ready":
+        if backend.state != "ready" or backend.says_leaving:
             return
-        backend.state = "draining"
         try:
-            await self._tell(backend)
-            if backend.plan.instance_id == instance_id:
-                self._world.record.leaving[instance_id] = asyncio.get_running_loop().time()
-            await asyncio.sleep(step.hold_s)
+            if step.to_server:
+                backend.state = "draining"
+                await self._tell(backend)
+                if backend.plan.instance_id == instance_id:
+                    self._world.record.leaving[instance_id] = asyncio.get_running_loop().time()
+                await asyncio.sleep(step.hold_s)
+            else:
+                backend.says_leaving = True
+                await asyncio.sleep(step.hold_s)
+                if backend.plan.instance_id == instance_id:
+                    self._note_told(backend)
         finally:
             # The next process at this address is ready.
             backend.replace_process(place.next_instance())
             backend.state = "ready"
+            backend.says_leaving = False
+            backend.told_leaving_ids.clear()
+
+    def _note_told(self, backend: PlatformBackend) -> None:
+        """Record when the first caller had a response that says that a backend server leaves."""
+        calls = self._world.record.calls
+        told = [calls[item] for item in backend.told_leaving_ids if item in calls]
+        passed_on_s = [call.ended_s for call in told if call.status == 200 and call.ended_s]
+        if passed_on_s:
+            self._world.record.leaving[backend.plan.instance_id] = min(passed_on_s)
 
     async def _tell(self, backend: PlatformBackend) -> None:
         while True:
--- a/packages/testing/src/bamboonotch_testing/soak/_plan.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_plan.py
@@ -58,7 +58,8 @@
     :param hold_s: how long it lasts, in seconds.
     :param detail: which fault or answer, where the kind has several.
     :param delay_ms: added delay, where the kind delays.
-    :param to_server: direction, where the kind has one.
+    :param to_server: direction, where the kind has one; whether heartbeats say it, not responses,
+        where a backend server leaves.
     """
 
     at_s: float
--- a/packages/testing/src/bamboonotch_testing/soak/_record.py
+++ b/packages/testing/src/bamboonotch_testing/soak/_record.py
@@ -99,7 +99,8 @@
     :param runs: runs of each request, as pairs of the backend server's node and the run.
     :param arrivals: arrivals at backend servers, as pairs of the node's number and the arrival.
     :param versions: when each version was written, by number.
-    :param leaving: when the leaving of a backend server was acknowledged, by its process.
+    :param leaving: when the leaving of a backend server was acknowledged, or when a caller had a
+        response that says it, by its process.
     :param ends: processes that ended by themselves, and those that did not end in time.
     :param healed_s: when the last fault ended.
     :param worst_stall_ms: longest time in which the observing process did not run.
