Pay for other traffic on the link only with what is earned after it

After a rest the burst stood in the link and bodies were sent on top of it: 0.29 s in the link after 10 s of rest, two downloads to callers and twelve to other nodes, where 0.1 is allowed. test_burst_after_a_rest fails without the change and passes with it.

--- a/packages/node/src/bamboonotch_node/forwarding/_uplink.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_uplink.py
@@ -30,7 +30,7 @@
 # Other traffic is never held back. It is paid off over time, so that bodies keep a share of a link
 # that other traffic fills.
 MIN_BODY_SHARE = 0.15
-# Other traffic beyond this is not paid off; the link has then carried what its queue dropped.
+# Bounds how long a burst of other traffic holds bodies back.
 MAX_DEBT_S = 2.0
 
 
@@ -105,6 +105,8 @@
         :param size_bytes: its size.
         """
         if self.is_paced:
+            # What was earned before must not pay for what leaves only now.
+            self._refill()
             limit_bytes = MAX_DEBT_S * self._bytes_per_s
             self._debt_bytes = min(limit_bytes, self._debt_bytes + size_bytes)
 
--- a/packages/node/tests/forwarding/test_uplink.py
+++ b/packages/node/tests/forwarding/test_uplink.py
@@ -191,6 +191,16 @@
             self.assertLess(owner.queue_s(), 0.1, f"before burst {burst}")
             owner.send_other(2 * DOWNLOAD_BYTES)
 
+    def test_burst_after_a_rest(self) -> None:
+        """Guards against a burst that counts as paid by the time before it."""
+        owner = SimulatedOwner(LINK_MBPS)
+        owner.loop.run_until(10.0)
+        owner.send_other(2 * DOWNLOAD_BYTES)
+        for number in range(12):
+            owner.respond(f"download-{number}", DOWNLOAD_BYTES)
+        owner.loop.run_until(10.6)
+        self.assertLess(owner.queue_s(), 0.1)
+
     def test_backlog(self) -> None:
         """Guards against an owner that takes more downloads than its link can send in time."""
         owner = SimulatedOwner(LINK_MBPS)
