--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,6 +21,21 @@
 SERVES_ON_S = 9.0  # how long the backend goes on serving after the ack
 
 
+async def wait_until_open(address: str) -> None:
+    """Wait until a process accepts connections at an address."""
+    host, _, port = address.rpartition(":")
+    ends_s = time.monotonic() + 20
+    while time.monotonic() < ends_s:
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            await asyncio.sleep(0.01)
+        else:
+            writer.close()
+            return
+    raise CannotRun(f"nothing listens at {address}")
+
+
 async def play(case: Case) -> bool:
     case.store.put(
         "op/config", configuration("r3", [rule("r-a", "safe", "/menu/", "menu", 1.2)], ["menu"])
@@ -56,10 +71,12 @@
         await asyncio.wait_for(asyncio.to_thread(leaving_node.process.wait), GRACE_S)
         leaving_node.start()
         case.note("node of i-leaves is started again")
+    started_s = time.monotonic()
+    if case.trouble:
+        await wait_until_open(leaving_node.control)
         # The last heartbeat before the departure takes some seconds.
         late = asyncio.create_task(leaving.beat(proxy_address))
         await asyncio.sleep(0.05)
-    started_s = time.monotonic()
     acknowledged = False
     while not acknowledged and time.monotonic() < started_s + 10:
         answer = await exchange(
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,11 +14,11 @@
 # Bounds of the site.
 DRAIN_S = 2.0
 STABLE_WINDOW_S = 3.0
-STALE_S = 3.0  # age of serializable reads
-LATE_S = 3.0  # delay of one heartbeat
+STALE_S = 5.5  # age of serializable reads
+LATE_S = 4.5  # delay of one heartbeat
 KILL_AFTER_S = 0.3  # from the ack of the departure
 RESTART_AFTER_S = 0.5
-SERVES_ON_S = 9.0  # how long the backend goes on serving after the ack
+SERVES_ON_S = 11.0  # how long the backend goes on serving after the ack
 
 
 async def play(case: Case) -> bool:
