--- a/review/3/case.py
+++ b/review/3/case.py
@@ -102,9 +102,7 @@
         await late
     in_touch_s = started_s + STABLE_WINDOW_S if case.trouble else acknowledged_s
     late_runs = [
-        run
-        for run in leaving.runs
-        if run.at_s > acknowledged_s + DRAIN_S and run.at_s > in_touch_s
+        run for run in leaving.runs if run.at_s > acknowledged_s + DRAIN_S and run.at_s > in_touch_s
     ]
     for run in late_runs:
         case.note(f"too late: {run.attempt_id}, {run.at_s - acknowledged_s:.3f} s after the ack")
--- a/review/standins/node.py
+++ b/review/standins/node.py
@@ -27,10 +27,7 @@
 
 
 class Node:
-    """One node; its settings are those of a small deployment.
-
-    :param values: fields that replace those of the settings, by the names of the template.
-    """
+    """One node; its settings are those of a small deployment."""
 
     def __init__(
         self, name: str, service: str, ip: str, store: str, directory: Path, zone: str = "ktm-a"
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -21,9 +21,7 @@
         host, _, port = address.rpartition(":")
         self.server = await asyncio.start_server(self._connected, host, int(port))
 
-    async def _connected(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         data = await reader.read(65536)
         await asyncio.sleep(self.delay_s)
         host, _, port = self.target.rpartition(":")
