Remember departures by process id, so that a late heartbeat undoes none

Cause: a departure call names only the id of its process. A node that had been restarted and had heard no heartbeat yet gave the departure the start time 0. A heartbeat that was sent before the call and came late has a start time, so it counted as one of another process and was taken. In the same way a departure of a process that was not the latest one was acknowledged and dropped.

Fix: departures are remembered by process id beside the latest announcement, eight at most, here and in the node's entry. Where the start is not known, a departure holds for every process of its id that started before the call was heard, which is a time of the same VM. A later process has a later start.

--- a/packages/core/src/bamboonotch_core/announcements.py
+++ b/packages/core/src/bamboonotch_core/announcements.py
@@ -2,6 +2,10 @@
 
 Announcements can be delayed, and a later process may announce itself under the same id or at the
 same address. The start time orders processes; the sequence number orders what one process says.
+
+A departure that was acknowledged must hold whatever arrives later, so departures are remembered by
+process id, beside the latest announcement. A departure call names its process by the id alone; a
+node that has not heard that process then knows only that it started before the call.
 """
 
 from __future__ import annotations
@@ -11,9 +15,15 @@
 
 __all__ = [
     "LEAVING_STATES",
+    "MAX_DEPARTURES",
+    "complete_departure",
+    "has_departed",
+    "is_departure_of_another",
     "is_new_departure",
     "is_outdated",
     "make_departure",
+    "started_after",
+    "with_departure",
     "with_known_departure",
 ]
 
@@ -21,6 +31,9 @@
 DRAINING = "draining"
 STOPPED = "stopped"
 LEAVING_STATES = frozenset({DRAINING, STOPPED})
+# A VM has one backend server, and for a while its successor. The bound is against callers that
+# report departures of ids that never existed.
+MAX_DEPARTURES = 8
 
 
 def _process(announcement: BackendServerAnnounced) -> tuple[str, int]:
@@ -56,19 +69,135 @@
     return replace_fields(event, state=state, leaving=True)
 
 
-def is_new_departure(latest: BackendServerAnnounced | None, event: BackendServerAnnounced) -> bool:
+def complete_departure(
+    latest: BackendServerAnnounced | None, event: BackendServerAnnounced
+) -> BackendServerAnnounced:
+    """Return a departure that names only its process, with what that process had announced.
+
+    :param latest: the latest announcement taken before, or ``None``.
+    :param event: the announcement.
+    """
+    if latest is None or event.state != STOPPED or event.service or not event.instance_id:
+        return event
+    if latest.instance_id != event.instance_id:
+        return event
+    return replace_fields(
+        event,
+        service=latest.service,
+        address=latest.address,
+        slots=latest.slots,
+        started_unix_ms=event.started_unix_ms or latest.started_unix_ms,
+    )
+
+
+def is_departure_of_another(
+    latest: BackendServerAnnounced | None, event: BackendServerAnnounced
+) -> bool:
+    """Tell whether a process ends that is not the one in use.
+
+    :param latest: the latest announcement taken, or ``None``.
+    :param event: the announcement.
+    """
+    if latest is None or event.state != STOPPED or not event.instance_id:
+        return False
+    return latest.instance_id != event.instance_id
+
+
+def started_after(departure: BackendServerAnnounced, event: BackendServerAnnounced) -> bool:
+    """Tell whether an announcement is of a process that started after another one of its id left.
+
+    A process whose start time is not known started before its departure was heard. Both times are
+    read on the same VM.
+
+    :param departure: the departure.
+    :param event: an announcement under the same process id.
+    """
+    if not event.started_unix_ms:
+        return False
+    if departure.started_unix_ms:
+        return event.started_unix_ms > departure.started_unix_ms
+    return 0 < departure.heard_unix_ms < event.started_unix_ms
+
+
+def is_new_departure(
+    departures: tuple[BackendServerAnnounced, ...], event: BackendServerAnnounced
+) -> bool:
     """Tell whether a process says for the first time that it leaves.
 
     What it says after that adds nothing: its earlier heartbeats have lower sequence numbers.
 
-    :param latest: the latest announcement taken before, or ``None``.
+    :param departures: the departures that are remembered.
     :param event: the announcement.
     """
     if event.state not in LEAVING_STATES or not event.instance_id:
         return False
-    if latest is None or latest.state not in LEAVING_STATES:
+    known = _find_departure(departures, event.instance_id)
+    return known is None or not _is_covered(known, event)
+
+
+def with_departure(
+    departures: tuple[BackendServerAnnounced, ...], event: BackendServerAnnounced
+) -> tuple[BackendServerAnnounced, ...]:
+    """Return the departures to remember after a process said that it leaves.
+
+    One departure is remembered for each id, and only the latest ``MAX_DEPARTURES`` ids.
+
+    :param departures: the departures remembered before, the latest one last.
+    :param event: the announcement of the departure.
+    """
+    known = _find_departure(departures, event.instance_id)
+    if known is not None and _is_covered(known, event):
+        ends = event.state == STOPPED and known.state != STOPPED
+        if not ends or _is_earlier_process(known, event):
+            return departures
+    others = tuple(item for item in departures if item.instance_id != event.instance_id)
+    return (*others, event)[-MAX_DEPARTURES:]
+
+
+def has_departed(
+    departures: tuple[BackendServerAnnounced, ...], event: BackendServerAnnounced
+) -> bool:
+    """Tell whether a heartbeat was sent before an acknowledged departure of its process.
+
+    A heartbeat that does not say when its process started is taken to be of the process that left.
+
+    :param departures: the departures that are remembered.
+    :param event: the heartbeat.
+    """
+    known = _find_departure(departures, event.instance_id)
+    if known is None or event.state == STOPPED or started_after(known, event):
+        return False
+    if known.state == STOPPED or _is_earlier_process(known, event):
+        return True
+    if known.leaving and event.state == READY:
         return True
-    return _process(latest) != _process(event)
+    if event.sequence is None or known.sequence is None:
+        return False
+    return event.sequence <= known.sequence
+
+
+def _find_departure(
+    departures: tuple[BackendServerAnnounced, ...], instance_id: str
+) -> BackendServerAnnounced | None:
+    """Return the departure remembered of a process id, or ``None``."""
+    if not instance_id:
+        return None
+    return next((item for item in departures if item.instance_id == instance_id), None)
+
+
+def _is_covered(known: BackendServerAnnounced, event: BackendServerAnnounced) -> bool:
+    """Tell whether a remembered departure holds for the process of another departure.
+
+    A departure call of an unknown process may be of any that started before it.
+    """
+    if event.state == STOPPED and not event.started_unix_ms:
+        return not known.started_unix_ms
+    return not started_after(known, event)
+
+
+def _is_earlier_process(known: BackendServerAnnounced, event: BackendServerAnnounced) -> bool:
+    """Tell whether an announcement is of a process before another, or does not say of which."""
+    return event.started_unix_ms < known.started_unix_ms
 
 
 def is_outdated(latest: BackendServerAnnounced | None, event: BackendServerAnnounced) -> bool:
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -15,9 +15,15 @@
     with_incarnation,
 )
 from bamboonotch_core.announcements import (
+    LEAVING_STATES,
+    complete_departure,
+    has_departed,
+    is_departure_of_another,
     is_new_departure,
     is_outdated,
     make_departure,
+    started_after,
+    with_departure,
     with_known_departure,
 )
 from bamboonotch_core.distribution import (
@@ -223,23 +229,36 @@
     fault = find_announcement_fault(event)
     if fault:
         return Transition(state, (Report("announcement-refused", (("reason", fault),)),))
-    if is_outdated(state.announcement, event):
+    latest = state.announcement
+    event = with_known_departure(latest, complete_departure(latest, event))
+    if is_departure_of_another(latest, event):
+        remembered = _remember_departure(event, state)
+        report = Report("departure-remembered", (("instance_id", event.instance_id),))
+        return Transition(remembered.state, (report, *remembered.effects))
+    if has_departed(state.departures, event) or is_outdated(latest, event):
         fields = (
             ("instance_id", event.instance_id),
             ("state", event.state),
             ("sequence", -1 if event.sequence is None else event.sequence),
         )
         return Transition(state, (Report("announcement-outdated", fields),))
-    return _take_announcement(with_known_departure(state.announcement, event), state)
+    return _take_announcement(event, state)
 
 
 def _take_announcement(event: BackendServerAnnounced, state: NodeState) -> NodeTransition:
-    """Apply an announcement, and keep a departure for the next process of this node."""
-    departure = is_new_departure(state.announcement, event)
-    transition = _reduce_all(event, replace_fields(state, announcement=event))
-    if not departure:
-        return transition
-    return Transition(transition.state, (*transition.effects, KeepDeparture(event)))
+    """Apply an announcement, and remember a departure."""
+    remembered = _remember_departure(event, state)
+    transition = _reduce_all(event, replace_fields(remembered.state, announcement=event))
+    return Transition(transition.state, transition.effects + remembered.effects)
+
+
+def _remember_departure(event: BackendServerAnnounced, state: NodeState) -> NodeTransition:
+    """Remember a departure here and, when it is new, for the next process of this node."""
+    if event.state not in LEAVING_STATES or not event.instance_id:
+        return Transition(state)
+    effects = (KeepDeparture(event),) if is_new_departure(state.departures, event) else ()
+    departures = with_departure(state.departures, event)
+    return Transition(replace_fields(state, departures=departures), effects)
 
 
 @_reduce_event.register
@@ -289,8 +308,12 @@
     if fault:
         return Transition(state, (Report("departure-refused", (("reason", fault),)),))
     latest = state.announcement
-    if latest is not None and latest.instance_id != recalled.instance_id:
-        return Transition(state)
+    departures = with_departure(state.departures, recalled)
+    state = replace_fields(state, departures=departures)
+    if latest is not None:
+        if latest.instance_id != recalled.instance_id or started_after(recalled, latest):
+            return Transition(state)
+        recalled = complete_departure(latest, recalled)
     if is_outdated(latest, recalled):
         return Transition(state)
     fields = (("instance_id", recalled.instance_id), ("state", recalled.state))
--- a/packages/core/src/bamboonotch_core/state.py
+++ b/packages/core/src/bamboonotch_core/state.py
@@ -50,6 +50,8 @@
     :param slots_directory: directory as of which ``competing`` was decided, or ``None``.
     :param slots_linked: whether this node had a link then.
     :param announcement: latest announcement of the backend server, or ``None``.
+    :param departures: what processes beside this node said last when they left, one for each
+        process id, the latest one last.
     :param shutdown_deadline_ms: when the process ends at the latest, or ``None`` while it is not
         shutting down.
     :param shutdown_drain_ms: when a process that shuts down stops taking work for its backend
@@ -69,6 +71,7 @@
     slots_directory: Directory | None = None
     slots_linked: bool = False
     announcement: BackendServerAnnounced | None = None
+    departures: tuple[BackendServerAnnounced, ...] = ()
     shutdown_deadline_ms: float | None = None
     shutdown_drain_ms: float | None = None
     shutdown_idle_after_ms: float = 0.0
--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -123,7 +123,9 @@
         self._registration.keep_departure(effect.announcement)
 
     def _recall_departure(self, announcement: BackendServerAnnounced) -> None:
-        recalled = replace(announcement, heard_unix_ms=unix_ms())
+        # A damaged time of hearing must not outdate later processes.
+        heard_unix_ms = min(announcement.heard_unix_ms or unix_ms(), unix_ms())
+        recalled = replace(announcement, heard_unix_ms=heard_unix_ms)
         self._dispatch(DepartureRecalled(now_ms(), recalled))
 
     def _register_again(self, effect: RegisterAgain) -> None:
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -21,7 +21,7 @@
     SendMessage,
     StopProcess,
 )
-from bamboonotch_core.events import BackendServerAnnounced, Event, ShutdownRequested, Tick
+from bamboonotch_core.events import Event, ShutdownRequested, Tick
 from bamboonotch_core.membership import backend_server_address, own_record
 from bamboonotch_core.reducer import reduce
 from bamboonotch_core.request_effects import ForwardAttempt, SendFence
@@ -221,10 +221,6 @@
         state = self._state
         return state.distribution.serving and state.shutdown_deadline_ms is None
 
-    def latest_announcement(self) -> BackendServerAnnounced | None:
-        """Return the latest announcement taken of the backend server."""
-        return self._state.announcement
-
     def explain_version(self) -> dict[str, Any]:
         """Explain why this node runs the version that it runs."""
         return views.describe_version(self._state)
--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -1,7 +1,7 @@
 """The leased entry by which other nodes find this one.
 
 The entry gives no authority: it is an address to dial, and a stale one costs a failed dial. It also
-keeps what a leaving backend server has said, for the next process of this node.
+keeps what leaving backend servers have said, for the next process of this node.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from bamboonotch_core.announcements import LEAVING_STATES
+from bamboonotch_core.announcements import LEAVING_STATES, MAX_DEPARTURES, with_departure
 from bamboonotch_core.effects import Report
 from bamboonotch_core.errors import StoreError
 from bamboonotch_core.events import BackendServerAnnounced, SlotHolder
@@ -74,16 +74,30 @@
 
 def _encode_departure(announcement: BackendServerAnnounced) -> dict[str, Any]:
     fields = {name: getattr(announcement, name) for name in DEPARTURE_FIELDS}
-    return {**fields, "leaving": announcement.leaving}
+    return {
+        **fields,
+        "leaving": announcement.leaving,
+        "heard_unix_ms": announcement.heard_unix_ms,
+    }
 
 
-def _parse_departure(data: bytes) -> BackendServerAnnounced | None:
-    """Return the departure in an entry, or ``None`` if there is none or it is malformed."""
+def _parse_departures(data: bytes) -> tuple[BackendServerAnnounced, ...]:
+    """Return the well-formed departures in an entry, the latest one last."""
     try:
         value = json.loads(data)
     except (ValueError, RecursionError):
-        return None
-    raw = value.get("departure") if isinstance(value, dict) else None
+        return ()
+    if not isinstance(value, dict):
+        return ()
+    listed = value.get("departures")
+    # Entries of earlier versions hold one departure.
+    raw = listed if isinstance(listed, list) else [value.get("departure")]
+    parsed = (_parse_departure(item) for item in raw[-MAX_DEPARTURES:])
+    return tuple(item for item in parsed if item is not None)
+
+
+def _parse_departure(raw: Any) -> BackendServerAnnounced | None:
+    """Return a departure, or ``None`` if it is malformed."""
     if not isinstance(raw, dict):
         return None
     for name, kinds in DEPARTURE_FIELDS.items():
@@ -92,8 +106,14 @@
     if raw["state"] not in LEAVING_STATES:
         return None
     fields = {name: raw[name] for name in DEPARTURE_FIELDS}
-    # Entries of earlier versions have no such field.
-    return BackendServerAnnounced(now_ms=0.0, leaving=raw.get("leaving") is True, **fields)
+    # Entries of earlier versions have neither of these fields.
+    heard_unix_ms = raw.get("heard_unix_ms")
+    return BackendServerAnnounced(
+        now_ms=0.0,
+        leaving=raw.get("leaving") is True,
+        heard_unix_ms=heard_unix_ms if type(heard_unix_ms) is int else 0,
+        **fields,
+    )
 
 
 async def read_registered(store: SharedStore) -> MemberListing:
@@ -122,7 +142,7 @@
     :param reactor: Twisted reactor.
     :param random: source of jitter.
     :param report: takes reports.
-    :param recalled: takes the departure that an earlier process of this node had kept.
+    :param recalled: takes each departure that an earlier process of this node had kept.
     :param epoch_seen: takes the epoch of the store when an answer states a newer one.
     """
 
@@ -152,7 +172,7 @@
         self._epoch = 0
         self._timer: Any = None
         self._is_entry_read = False
-        self._departure: BackendServerAnnounced | None = None
+        self._departures: tuple[BackendServerAnnounced, ...] = ()
         self._is_entry_current = False
 
     def start(self) -> None:
@@ -166,7 +186,7 @@
 
         :param announcement: what it said.
         """
-        self._departure = announcement
+        self._departures = with_departure(self._departures, announcement)
         self._is_entry_current = False
         if self._lease is not None and self._is_current(self._lease):
             writing = Deferred.fromCoroutine(self._write_entry(self._lease))
@@ -188,7 +208,7 @@
             self._loop = None
         lease, self._lease = self._lease, None
         # The id of a lease of an earlier epoch may belong to another node now.
-        if lease is not None and self._departure is None and self._is_current(lease):
+        if lease is not None and not self._departures and self._is_current(lease):
             await self._store.end_lease(lease)
 
     def _stopped(self, failure: Any) -> None:
@@ -248,19 +268,25 @@
         return lease.epoch >= self._epoch
 
     async def _read_own_entry(self) -> None:
-        """Recall a departure from the entry of an earlier process, before it is overwritten."""
+        """Recall departures from the entry of an earlier process, before it is overwritten."""
         for entry in await self._store.read_entries(self._key()):
-            departure = _parse_departure(entry.value) if entry.key == self._key() else None
-            if departure is not None:
-                self._departure = self._departure or departure
-                self._recalled(departure)
+            if entry.key == self._key():
+                self._recall(_parse_departures(entry.value))
         self._is_entry_read = True
 
+    def _recall(self, departures: tuple[BackendServerAnnounced, ...]) -> None:
+        """Take over departures, as older ones than those that this process has kept."""
+        kept, self._departures = self._departures, ()
+        for departure in (*departures, *kept):
+            self._departures = with_departure(self._departures, departure)
+        for departure in departures:
+            self._recalled(departure)
+
     async def _write_entry(self, lease: Lease) -> None:
-        departure = self._departure
+        departures = self._departures
         epoch = await self._store.write_entry(self._key(), self._value(), lease)
         self._check_epoch(lease, epoch)
-        self._is_entry_current = departure is self._departure
+        self._is_entry_current = departures is self._departures
 
     def _write_failed(self, failure: Any) -> None:
         # The next renewal writes the entry again.
@@ -293,8 +319,8 @@
             "data_centre": identity.data_centre,
             "peer_address": identity.peer_address,
         }
-        if self._departure is not None:
-            value["departure"] = _encode_departure(self._departure)
+        if self._departures:
+            value["departures"] = [_encode_departure(item) for item in self._departures]
         return json.dumps(value).encode()
 
     def _wake(self) -> None:
