Write the entry of a node only over the revision that it has seen

Cause: a process that starts recalled departures from its entry by a read that the store may answer from the past, found none, and replaced the entry, which held the only copy.

Fix: there is no read any more. A write names the revision of the entry that it replaces; a refused write states the entry as it is, whose departures are taken over. So nothing is replaced unseen, and a write that the store carries out late cannot replace a newer one. Writes of one process follow one another.

--- a/packages/store/src/bamboonotch_store/errors.py
+++ b/packages/store/src/bamboonotch_store/errors.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "ClaimKeyError",
+    "EntryChangedError",
     "LeaseEndedError",
     "SessionInvalidError",
     "StoreRefusedError",
@@ -34,5 +35,21 @@
     """The lease of a call does not exist, or has ended."""
 
 
+class EntryChangedError(StoreError):
+    """An entry has another revision than its writer believed, so that nothing was written.
+
+    :param key: the key.
+    :param value: the value that the entry has, empty if there is none.
+    :param revision: revision of the entry, 0 if there is none.
+    :param epoch: epoch of the store that answered.
+    """
+
+    def __init__(self, key: str, value: bytes, revision: int, epoch: int) -> None:
+        super().__init__(f"entry {key} has revision {revision}")
+        self.value = value
+        self.revision = revision
+        self.epoch = epoch
+
+
 class StoreRestoredError(StoreError):
     """The store was restored from a copy, so that a lease of before is not this process's."""
--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -2,6 +2,10 @@
 
 The entry gives no authority: it is an address to dial, and a stale one costs a failed dial. It also
 keeps what leaving backend servers have said, for the next process of this node.
+
+Each write names the revision of the entry that it replaces. So the first write of a process cannot
+replace what an earlier one has kept without having seen it, and a write that the store carries out
+late cannot replace a newer one.
 """
 
 from __future__ import annotations
@@ -12,15 +16,15 @@
 from random import Random
 from typing import Any
 
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, DeferredLock
 
 from bamboonotch_core.announcements import LEAVING_STATES, MAX_DEPARTURES, with_departure
 from bamboonotch_core.effects import Report
 from bamboonotch_core.errors import StoreError
 from bamboonotch_core.events import BackendServerAnnounced, SlotHolder
 from bamboonotch_core.settings import IdentitySettings
-from bamboonotch_store.errors import LeaseEndedError, StoreRestoredError
-from bamboonotch_store.shared import Lease, SharedEntry, SharedStore
+from bamboonotch_store.errors import EntryChangedError, LeaseEndedError, StoreRestoredError
+from bamboonotch_store.shared import Lease, SharedEntry, SharedStore, WrittenEntry
 
 __all__ = ["MEMBER_PREFIX", "MemberListing", "Registration", "read_registered"]
 
@@ -171,7 +175,9 @@
         self._epoch_seen = epoch_seen
         self._epoch = 0
         self._timer: Any = None
-        self._is_entry_read = False
+        # Of the entry as this process knows it: 0 while it knows of none.
+        self._revision = 0
+        self._writing = DeferredLock()
         self._departures: tuple[BackendServerAnnounced, ...] = ()
         self._is_entry_current = False
 
@@ -222,10 +228,12 @@
                 self._failures = self._restores = 0
             except StoreRestoredError:
                 self._lease = None
+                self._revision = 0
                 wait_s = self._note_restore()
             except LeaseEndedError:
                 self._report(Report("registration-lapsed"))
                 self._lease = None
+                self._revision = 0
                 continue
             except StoreError as error:
                 wait_s = self._note_failure(error)
@@ -236,8 +244,6 @@
 
         :raises StoreRestoredError: when the store was restored since the lease was created.
         """
-        if not self._is_entry_read:
-            await self._read_own_entry()
         if self._lease is None:
             lease = await self._store.create_lease(self._lease_ms)
             self._take_epoch(lease.epoch)
@@ -267,13 +273,6 @@
     def _is_current(self, lease: Lease) -> bool:
         return lease.epoch >= self._epoch
 
-    async def _read_own_entry(self) -> None:
-        """Recall departures from the entry of an earlier process, before it is overwritten."""
-        for entry in await self._store.read_entries(self._key()):
-            if entry.key == self._key():
-                self._recall(_parse_departures(entry.value))
-        self._is_entry_read = True
-
     def _recall(self, departures: tuple[BackendServerAnnounced, ...]) -> None:
         """Take over departures, as older ones than those that this process has kept."""
         kept, self._departures = self._departures, ()
@@ -283,9 +282,29 @@
             self._recalled(departure)
 
     async def _write_entry(self, lease: Lease) -> None:
+        """Write the entry, after what an earlier process has kept in it was taken over.
+
+        :raises EntryChangedError: when it goes on changing.
+        """
+        await self._writing.acquire()
+        try:
+            try:
+                await self._replace_entry(lease)
+            except EntryChangedError as error:
+                self._check_epoch(lease, error.epoch)
+                self._revision = error.revision
+                self._recall(_parse_departures(error.value))
+                await self._replace_entry(lease)
+        finally:
+            self._writing.release()
+
+    async def _replace_entry(self, lease: Lease) -> None:
         departures = self._departures
-        epoch = await self._store.write_entry(self._key(), self._value(), lease)
-        self._check_epoch(lease, epoch)
+        written: WrittenEntry = await self._store.write_entry(
+            self._key(), self._value(), lease, self._revision
+        )
+        self._check_epoch(lease, written.epoch)
+        self._revision = written.revision
         self._is_entry_current = departures is self._departures
 
     def _write_failed(self, failure: Any) -> None:
--- a/packages/store/src/bamboonotch_store/shared.py
+++ b/packages/store/src/bamboonotch_store/shared.py
@@ -6,7 +6,8 @@
 * ``StoreUnavailableError`` when no answer came in time, the connection was lost or the store
   refuses calls for now; a write may then have taken effect or may still do so;
 * ``StoreValueError`` when an answer or value is malformed;
-* ``LeaseEndedError`` when the lease of a call has ended.
+* ``LeaseEndedError`` when the lease of a call has ended;
+* ``EntryChangedError`` when an entry is not as the writer of it believed.
 
 A store that was restored from a copy begins a new epoch. It has lost what was written since the
 copy, and gives the revisions and lease ids after it out again; so these mean something only
@@ -22,7 +23,7 @@
 
 from bamboonotch_core.configuration import Document
 
-__all__ = ["Lease", "SharedEntry", "SharedStore", "StoredDocument"]
+__all__ = ["Lease", "SharedEntry", "SharedStore", "StoredDocument", "WrittenEntry"]
 
 
 @dataclass(frozen=True)
@@ -44,14 +45,28 @@
 
 @dataclass(frozen=True)
 class SharedEntry:
-    """One key of a listing.
+    """One key and its value.
 
     :param key: the key.
     :param value: its value.
+    :param revision: revision of its last change; 0 in a listing.
     """
 
     key: str
     value: bytes
+    revision: int = 0
+
+
+@dataclass(frozen=True)
+class WrittenEntry:
+    """What the store says of a write.
+
+    :param revision: revision of the entry from now on.
+    :param epoch: epoch of the store that wrote it.
+    """
+
+    revision: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True)
@@ -103,13 +118,18 @@
         :param lease: the lease.
         """
 
-    def write_entry(self, key: str, value: bytes, lease: Lease) -> Deferred[int]:
-        """Write an entry that lasts as long as a lease.
+    def write_entry(
+        self, key: str, value: bytes, lease: Lease, revision: int
+    ) -> Deferred[WrittenEntry]:
+        """Write an entry that lasts as long as a lease, if it has not changed.
+
+        A write without an answer may still take effect, but only while the entry is as before.
 
         :param key: the key.
         :param value: the value.
         :param lease: the lease.
-        :returns: epoch of the store that wrote it.
+        :param revision: revision of the entry that is replaced; 0 if there is none.
+        :raises EntryChangedError: when the entry has another revision; nothing was written.
         """
 
     def close(self) -> Deferred[None]:
--- a/packages/store/tests/test_registration.py
+++ b/packages/store/tests/test_registration.py
@@ -11,7 +11,7 @@
 from bamboonotch_core.effects import Report
 from bamboonotch_core.settings import IdentitySettings
 from bamboonotch_store.registration import REGISTER_AGAIN_S, Registration
-from bamboonotch_store.shared import Lease, SharedEntry, SharedStore
+from bamboonotch_store.shared import Lease, SharedEntry, SharedStore, WrittenEntry
 
 LEASE_MS = 30_000
 RENEWAL_S = 10.0
@@ -33,9 +33,11 @@
     def renew_lease(self, lease: Lease) -> Deferred[int]:
         return succeed(self.epoch)
 
-    def write_entry(self, key: str, value: bytes, lease: Lease) -> Deferred[int]:
+    def write_entry(
+        self, key: str, value: bytes, lease: Lease, revision: int
+    ) -> Deferred[WrittenEntry]:
         self.writes += 1
-        return succeed(self.epoch)
+        return succeed(WrittenEntry(self.writes, self.epoch))
 
 
 class RestoreTest(unittest.TestCase):
--- a/packages/testing/src/bamboonotch_testing/platform_store/_server.py
+++ b/packages/testing/src/bamboonotch_testing/platform_store/_server.py
@@ -59,6 +59,8 @@
 class PlatformStoreServer:
     """Serves the store on a port of its own; a context manager that closes it.
 
+    While ``stale_items`` is set, serializable reads see these items.
+
     :param reactor: Twisted reactor.
     """
 
@@ -66,6 +68,7 @@
         self._reactor = reactor
         self.data = PlatformData(time.monotonic)
         self.fault: Fault | None = None
+        self.stale_items: dict[str, Item] | None = None
         self.calls: Counter[str] = Counter()
         self.states_era = True
         self._port: Any = None
@@ -150,8 +153,8 @@
         self, name: str, path: list[str], query: dict[bytes, list[bytes]], body: bytes
     ) -> _Answer:
         handlers: dict[str, Callable[[], _Answer]] = {
-            "kv-key": lambda: self._read_key(_text(query, b"key")),
-            "kv-range": lambda: self._read_range(_text(query, b"prefix"), _text(query, b"after")),
+            "kv-key": lambda: self._read_key(query),
+            "kv-range": lambda: self._read_range(query),
             "kv-txn": lambda: self._transact(json.loads(body)),
             "kv-lease": lambda: self._create_lease(json.loads(body)["ttl-s"]),
             "kv-keep": lambda: (200, {"ttl-s": self.data.renew_lease(int(path[0]))}),
@@ -162,15 +165,23 @@
         except NoLeaseError:
             return 404, {"error": "no such lease"}
 
-    def _read_key(self, key: str) -> _Answer:
-        item = self.data.items.get(key)
+    def _seen_items(self, query: dict[bytes, list[bytes]]) -> dict[str, Item]:
+        """Return the items that a read sees."""
+        if self.stale_items is None or _text(query, b"serializable") != "1":
+            return self.data.items
+        return self.stale_items
+
+    def _read_key(self, query: dict[bytes, list[bytes]]) -> _Answer:
+        item = self._seen_items(query).get(_text(query, b"key"))
         if item is None:
             return 404, {"store-revision": self.data.revision}
         return 200, {**_describe(item), "store-revision": self.data.revision}
 
-    def _read_range(self, prefix: str, after: str) -> _Answer:
-        keys = sorted(key for key in self.data.items if key.startswith(prefix) and key > after)
-        page = [_describe(self.data.items[key]) for key in keys[:PAGE_ITEMS]]
+    def _read_range(self, query: dict[bytes, list[bytes]]) -> _Answer:
+        prefix, after = _text(query, b"prefix"), _text(query, b"after")
+        items = self._seen_items(query)
+        keys = sorted(key for key in items if key.startswith(prefix) and key > after)
+        page = [_describe(items[key]) for key in keys[:PAGE_ITEMS]]
         truncated = len(keys) > PAGE_ITEMS
         return 200, {"items": page, "truncated": truncated, "store-revision": self.data.revision}
 
