Bound the bodies of heartbeats and other small calls, and keep them in memory

Cause: the sites for heartbeats, readiness and administration left bodies to the library, which writes those that are long or have no length to a temporary file without a bound. No machine has a disk.

Ruled out: that the handlers read too much; they read 16 and 4 KiB of what had already been kept.

Fix: one place makes these sites. A body is held in memory, 64 KiB at most; the connection of a longer one gets a 413 and is closed.

--- a/packages/node/src/bamboonotch_node/admin/_site.py
+++ b/packages/node/src/bamboonotch_node/admin/_site.py
@@ -17,6 +17,7 @@
     UndrainRequested,
 )
 from bamboonotch_node.clock import now_ms
+from bamboonotch_node.sites import make_site
 
 __all__ = ["AdminBackend", "make_admin_site"]
 
@@ -77,11 +78,7 @@
     explain.putChild(b"request", _Json(lambda request: _explain_request(backend, request)))
     explain.putChild(b"version", _Json(lambda _: backend.explain_version()))
     explain.putChild(b"events", _Json(lambda request: _events(backend, request)))
-    site = Site(root, timeout=IDLE_TIMEOUT_S)
-    site.noisy = False
-    # Access log lines are not key=value pairs and cost time on every request.
-    site.log = lambda request: None
-    return site
+    return make_site(root, IDLE_TIMEOUT_S)
 
 
 def _argument(request: Request, name: bytes, default: str) -> str:
