Hold small chunks of requests and responses in few objects

Cause: limits count bytes, but each chunk was kept as an object of its own, and each write of a response that waits for its turn as a function. Chunks of two bytes took some ten times what the limits name.

Ruled out: memory without any bound; windows and limits hold (test_bytes_without_ end.py passes before and after).

Fix: the body of a request is one buffer; what is read of a response at once goes on as one piece; pieces below 1 KiB are joined; a held write counts more than its bytes, so its source is paused earlier.

--- a/packages/node/src/bamboonotch_node/backend/_connections.py
+++ b/packages/node/src/bamboonotch_node/backend/_connections.py
@@ -63,6 +63,7 @@
         self.requests_sent = 0
         self.refused_request_id = ""
         self.received_unasked = False
+        self.on_read: Callable[[], None] | None = None
         self._head_bytes: int | None = None
         self._pool = pool
 
@@ -96,6 +97,8 @@
                 self.transport.abortConnection()
                 return
         super().dataReceived(data)
+        if self.on_read is not None:
+            self.on_read()
 
     def _finishResponse(self, rest: bytes) -> None:  # noqa: N802
         # Twisted ignores what follows a response in the same segment.
--- a/packages/node/src/bamboonotch_node/backend/_exchange.py
+++ b/packages/node/src/bamboonotch_node/backend/_exchange.py
@@ -159,6 +159,7 @@
         self._connection: Any = None
         self._pending_connection: Any = None
         self._body_protocol: Any = None
+        self._read_pieces: list[bytes] = []
         self._timer: asyncio.TimerHandle | None = None
         self._paused = False
         self._finished = False
@@ -256,6 +257,7 @@
             self._finish(BackendResult.NOT_RUN)
             return
         self._connection = connection
+        connection.on_read = self._pass_on_read
         result: Deferred[Any] = connection.request(request)
         result.addCallbacks(self._head_received, self._request_failed)
         result.addErrback(self._handle_internal_error)
@@ -343,9 +345,15 @@
         response.deliverBody(self._body_protocol)
 
     def body_received(self, data: bytes) -> None:
-        """Pass a chunk of the response body to the receiver."""
+        """Take a chunk of the response body."""
         if not self._finished:
-            self._response_buffer.write(data)
+            self._read_pieces.append(data)
+
+    def _pass_on_read(self) -> None:
+        """Pass what was read at once to the receiver as one piece, however small its chunks are."""
+        pieces, self._read_pieces = self._read_pieces, []
+        if pieces and not self._finished:
+            self._response_buffer.write(pieces[0] if len(pieces) == 1 else b"".join(pieces))
 
     def unframed_body_ended(self) -> None:
         """End a response body without a length, whose end is the end of the connection.
@@ -365,6 +373,7 @@
             if self._timer is not None:
                 self._timer.cancel()
             return
+        self._pass_on_read()
         self._finished = True
         delivered = self._response_buffer.finish(complete)
         self._report_result(BackendResult.DONE if delivered else BackendResult.UNKNOWN)
@@ -375,6 +384,8 @@
             self._report_result(result)
 
     def _report_result(self, result: BackendResult) -> None:
+        if self._connection is not None:
+            self._connection.on_read = None
         if self._timer is not None:
             self._timer.cancel()
         self._on_result(result, self._clock() - self._started_ms)
--- a/packages/node/src/bamboonotch_node/forwarding/_incoming.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_incoming.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 from bamboonotch_core.errors import MessageError
@@ -9,7 +10,7 @@
 from bamboonotch_core.request_effects import ForwardAttempt
 from bamboonotch_core.request_events import BackendResult, OwnerRefused, OwnerResponded
 from bamboonotch_node.backend import FlowControl, ResponseReceiver, ResponseStart
-from bamboonotch_node.forwarding._outbox import WINDOW_BYTES, OutgoingBody
+from bamboonotch_node.forwarding._outbox import WINDOW_BYTES, OutgoingBody, append_piece
 
 __all__ = ["IncomingAttempt"]
 
@@ -45,7 +46,7 @@
         self._source: FlowControl | None = None
         self._receiver: ResponseReceiver | None = None
         self._paused = False
-        self._held: list[bytes] = []
+        self._held: deque[bytes] = deque()
         self._held_bytes = 0
         self._credit_bytes = 0
         self._outstanding_bytes = 0
@@ -111,7 +112,7 @@
             self._receiver.write(data)
             self._consumed(len(data))
             return
-        self._held.append(data)
+        append_piece(self._held, data)
         self._held_bytes += len(data)
         if self._source is not None and self._held_bytes >= WINDOW_BYTES:
             self._source.pause()
@@ -185,7 +186,7 @@
             receiver.finish(False)
 
     def _flush(self) -> None:
-        held, self._held, self._held_bytes = self._held, [], 0
+        held, self._held, self._held_bytes = self._held, deque(), 0
         for data in held:
             if self._paused or self._receiver is None:
                 self._held.append(data)
--- a/packages/node/src/bamboonotch_node/forwarding/_outbox.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_outbox.py
@@ -15,7 +15,7 @@
 from bamboonotch_node.forwarding._uplink import Uplink
 from bamboonotch_wire import bamboonotch_pb2 as pb
 
-__all__ = ["CHUNK_BYTES", "WINDOW_BYTES", "HeadBuilder", "Outbox", "OutgoingBody"]
+__all__ = ["CHUNK_BYTES", "WINDOW_BYTES", "HeadBuilder", "Outbox", "OutgoingBody", "append_piece"]
 
 CHUNK_BYTES = 16 * 1024
 WINDOW_BYTES = 64 * 1024
@@ -26,9 +26,24 @@
 # A source is held up while this much of its body waits in the outbox.
 HIGH_WATER_BYTES = 64 * 1024
 
+# Pieces below this size are joined, because each one takes some memory beside its bytes.
+SMALL_PIECE_BYTES = 1024
+
 HeadBuilder = Callable[[bytes, bool], "pb.ForwardFrame"]
 
 
+def append_piece(pieces: deque[bytes], data: bytes) -> None:
+    """Append bytes to a body that is held in pieces.
+
+    :param pieces: the pieces.
+    :param data: the bytes.
+    """
+    if pieces and len(pieces[-1]) + len(data) <= SMALL_PIECE_BYTES:
+        pieces[-1] += data
+    else:
+        pieces.append(data)
+
+
 class OutgoingBody:
     """One message with a body: a head frame, then chunks under credit.
 
@@ -71,7 +86,7 @@
         """
         if self._ended or not data:
             return
-        self._pieces.append(data)
+        append_piece(self._pieces, data)
         self._size_bytes += len(data)
         if self._size_bytes > HIGH_WATER_BYTES and self.source and not self._source_paused:
             self._source_paused = True
--- a/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
+++ b/packages/node/src/bamboonotch_node/forwarding/_owned_attempt.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from bamboonotch_node.backend import BackendExchange, OfferedWork, ResponseStart
-from bamboonotch_node.forwarding._outbox import CHUNK_BYTES
+from bamboonotch_node.forwarding._outbox import CHUNK_BYTES, append_piece
 from bamboonotch_node.forwarding._sink import AttemptSink
 
 __all__ = ["OwnedAttempt", "ResumePosition"]
@@ -113,7 +113,7 @@
     def _keep(self, data: bytes) -> None:
         if not self.replayable:
             return
-        self._kept.append(data)
+        append_piece(self._kept, data)
         self._kept_bytes += len(data)
         if self.sink is None and self._kept_bytes > MAX_DETACHED_BYTES and self.exchange:
             self._held_up = True
--- a/packages/node/src/bamboonotch_node/http_ingress/_channel.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_channel.py
@@ -43,13 +43,14 @@
         self.is_read = False
         self.is_handed_on = False
         self.body_size_bytes = 0
-        self._pieces: list[bytes] = []
+        # Not a list of pieces, because each small chunk would be an object of its own.
+        self._body = bytearray()
         self._refused = False
 
     @property
     def body(self) -> bytes:
         """The whole body."""
-        return b"".join(self._pieces)
+        return bytes(self._body)
 
     def parseCookies(self) -> None:  # noqa: N802
         """Do nothing; cookies pass through as a header."""
@@ -75,7 +76,7 @@
             self._refuse(503, "body-memory-exhausted")
         else:
             self.body_size_bytes += len(data)
-            self._pieces.append(data)
+            self._body += data
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
         """Hand the whole request on.
@@ -124,7 +125,7 @@
         """Return the memory of the body."""
         self.ingress.release_body_bytes(self.body_size_bytes)
         self.body_size_bytes = 0
-        self._pieces.clear()
+        self._body.clear()
 
     def _refuse(self, status: int, reason: str) -> None:
         self._refused = True
--- a/packages/node/src/bamboonotch_node/http_ingress/_turn.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_turn.py
@@ -15,6 +15,8 @@
 
 # A response that waits for its turn is paused when this much of it is held.
 MAX_HELD_BYTES = 64 * 1024
+# What a held write takes beside its bytes.
+WRITE_OVERHEAD_BYTES = 256
 
 
 class ResponseTurn:
@@ -86,7 +88,7 @@
             write()
             return
         self._held.append(write)
-        self._held_bytes += size_bytes
+        self._held_bytes += size_bytes + WRITE_OVERHEAD_BYTES
         must_pause = self._held_bytes > MAX_HELD_BYTES and not self._producer_paused
         if must_pause and self._producer is not None:
             self._producer_paused = True
--- a/packages/node/tests/backend/test_unasked_bytes.py
+++ b/packages/node/tests/backend/test_unasked_bytes.py
@@ -9,9 +9,9 @@
 from bamboonotch_core.effects import Report
 from bamboonotch_core.request_events import BackendResult
 from bamboonotch_node.backend import BackendClient, CallerRequest, OfferedWork
-from bamboonotch_node.backend._connections import MAX_HEAD_BYTES
 from bamboonotch_node.clock import now_ms
 from bamboonotch_node.dialect import OWN_DIALECT, HttpDialect
+from bamboonotch_store.response_heads import MAX_HEAD_BYTES
 from tests.backend.test_exchange import Receiver
 from tests.forwarding.support import PathTest
 
--- a/packages/node/tests/test_bytes_without_end.py
+++ b/packages/node/tests/test_bytes_without_end.py
@@ -22,7 +22,7 @@
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
-class _EndlessBackend(asyncio.Protocol):
+class EndlessBackend(asyncio.Protocol):
     """Answers each request with a body without end.
 
     :param head: head of the response.
@@ -33,6 +33,7 @@
         self._head = head
         self._piece = piece
         self.sent_bytes = 0
+        self.max_bytes: int | None = None
         self.lost: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._may_write = False
 
@@ -62,7 +63,7 @@
         self.lost.set_result(None)
 
     def _send(self) -> None:
-        if self._may_write:
+        if self._may_write and (self.max_bytes is None or self.sent_bytes < self.max_bytes):
             self.sent_bytes += len(self._piece)
             self.transport.write(self._piece)
             asyncio.get_running_loop().call_soon(self._send)
@@ -71,9 +72,9 @@
 class EndlessBodyTest(PathTest):
     """An ingress node, an owner and a backend server whose body has no end."""
 
-    async def start(self, head: bytes, piece: bytes) -> tuple[_EndlessBackend, PathNode]:
+    async def start(self, head: bytes, piece: bytes) -> tuple[EndlessBackend, PathNode]:
         """Start the parts and return the backend server and the ingress node."""
-        backend = _EndlessBackend(head, piece)
+        backend = EndlessBackend(head, piece)
         server = await asyncio.get_running_loop().create_server(lambda: backend, "127.0.0.1", 0)
         self.closers.append(server.close)
         host, port = server.sockets[0].getsockname()
