Bound the heads of responses in lines, and those of the store at all

Cause: a head was bounded at 256 KiB, but each header is several objects; and the heads of the store's answers, interim responses included, had no bound but the deadline of the call.

Ruled out: lines without end, which the library bounds at 16 KiB; trailers and the lines between chunks, which it bounds at 64 KiB and 1 KiB.

Fix: connections to backend servers and to the store share one class, which closes them when 256 KiB or 2,000 lines have come before the head of a response is whole.

--- a/packages/node/src/bamboonotch_node/backend/_connections.py
+++ b/packages/node/src/bamboonotch_node/backend/_connections.py
@@ -12,11 +12,10 @@
 from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
-from twisted.web.client import HTTP11ClientProtocol
 
 from bamboonotch_core.effects import Report
 from bamboonotch_core.errors import BamboonotchError
-from bamboonotch_node.backend._work import MAX_RESPONSE_HEADER_BYTES
+from bamboonotch_store.response_heads import BoundedHeadProtocol
 
 __all__ = ["BackendConnections", "ConnectionsExhaustedError"]
 
@@ -36,16 +35,13 @@
 # The slots of a backend server bound the requests in progress. Aborted requests may leave further
 # connections open for a while; this limit bounds the total.
 MAX_CONNECTIONS = 512
-# Bytes read until the head of a response is complete, interim responses included. A head may be
-# read together with the start of its body, so this is several times the limit of a head.
-MAX_HEAD_BYTES = 4 * MAX_RESPONSE_HEADER_BYTES
 
 
 class ConnectionsExhaustedError(BamboonotchError):
     """The limit on connections to the backend server is reached."""
 
 
-class _Connection(HTTP11ClientProtocol):
+class _Connection(BoundedHeadProtocol):
     """A connection that carries one request at a time.
 
     Twisted's own connection pool is not used. It starts and cancels a timer for each request, and
@@ -64,7 +60,6 @@
         self.refused_request_id = ""
         self.received_unasked = False
         self.on_read: Callable[[], None] | None = None
-        self._head_bytes: int | None = None
         self._pool = pool
 
     def request(self, request: Any) -> Any:
@@ -74,15 +69,10 @@
         :returns: a ``Deferred`` of the response.
         """
         self.requests_sent += 1
-        self._head_bytes = 0
         return super().request(request)
 
-    def note_head(self) -> None:
-        """Note that the head of the response is complete."""
-        self._head_bytes = None
-
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Read, unless nothing was asked for or the head has no end.
+        """Read, unless nothing was asked for.
 
         :param data: bytes from the backend server.
         """
@@ -91,11 +81,6 @@
             self._pool.report_unasked_bytes(self)
             self.transport.abortConnection()
             return
-        if self._head_bytes is not None:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self.transport.abortConnection()
-                return
         super().dataReceived(data)
         if self.on_read is not None:
             self.on_read()
--- a/packages/node/src/bamboonotch_node/backend/_exchange.py
+++ b/packages/node/src/bamboonotch_node/backend/_exchange.py
@@ -280,7 +280,6 @@
     def _head_received(self, response: Any) -> None:
         if self._finished:
             return
-        self._connection.note_head()
         self._body_protocol = _BodyProtocol(self)
         of_other_request = self._dialect.is_of_other_request(
             self._sent_request_id, response.headers
--- a/packages/node/tests/test_memory_of_small_pieces.py
+++ b/packages/node/tests/test_memory_of_small_pieces.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from bamboonotch_core import request_events as events
+from bamboonotch_store.response_heads import MAX_HEAD_BYTES
 from tests.forwarding.support import PathNode, PathTest
 from tests.test_bytes_without_end import EndlessBackend
 
@@ -91,6 +92,22 @@
 
         self.run_async(main)
 
+    def test_many_headers_of_a_response(self) -> None:
+        """Guards against a head within its bytes whose many headers take much more memory."""
+
+        async def main() -> None:
+            lines = b"".join(b"%x:\r\n" % number for number in range(MAX_HEAD_BYTES // 8))
+            backend = EndlessBackend(b"HTTP/1.1 200 OK\r\n" + lines, b"a:\r\n" * 1024)
+            node = await self.start(backend)
+            _, writer = await asyncio.open_connection("127.0.0.1", node.http_port)
+            self.begin()
+            writer.write(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+            await backend.lost
+            self.assertLess(self.peak_bytes(), MAX_MEMORY_BYTES)
+            writer.close()
+
+        self.run_async(main)
+
 
 def _hold_first(prepare: Any) -> Any:
     """Return a function that prepares exchanges of which the first one is never started."""
--- a/packages/store/src/bamboonotch_store/http.py
+++ b/packages/store/src/bamboonotch_store/http.py
@@ -20,6 +20,7 @@
     ResponseDone,
     ResponseFailed,
     ResponseNeverReceived,
+    _HTTP11ClientFactory,
 )
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
@@ -27,6 +28,7 @@
 from zope.interface import implementer
 
 from bamboonotch_core.errors import BamboonotchError
+from bamboonotch_store.response_heads import BoundedHeadProtocol
 
 __all__ = ["BytesProducer", "ExchangeFailedError", "HttpAnswer", "HttpExchange", "HttpTransport"]
 
@@ -145,6 +147,14 @@
         return endpoint(self._reactor, host, uri.port)
 
 
+class _ConnectionFactory(_HTTP11ClientFactory):  # type: ignore[misc]
+    """Makes the connections of the pool."""
+
+    def buildProtocol(self, addr: Any) -> BoundedHeadProtocol:  # noqa: N802
+        """Make a connection whose response heads are bounded."""
+        return BoundedHeadProtocol(self._quiescentCallback)
+
+
 class _BodyReader(Protocol):
     """Collects the body of an answer and tells of each piece.
 
@@ -267,6 +277,7 @@
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        self._pool._factory = _ConnectionFactory
         self._agent = Agent.usingEndpointFactory(reactor, _EndpointFactory(reactor), self._pool)
         self._pending: set[_Cancellable] = set()
         self._closed = False
--- a/packages/store/tests/test_http.py
+++ b/packages/store/tests/test_http.py
@@ -52,6 +52,30 @@
             self._timer = reactor.callLater(self._pause_s, self._send, left - 1)
 
 
+class _EndlessHeadServer(Protocol):
+    """Sends lines of a head, or interim responses, without end.
+
+    :param start: what is sent first.
+    :param piece: what is sent again and again.
+    """
+
+    def __init__(self, start: bytes, piece: bytes) -> None:
+        self._start = start
+        self._piece = piece
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Answer a request."""
+        self.transport.write(self._start)
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Send a piece."""
+        self.transport.write(self._piece)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Send nothing more."""
+
+
 class _EndlessServer(Protocol):
     """Sends a body without a length and without end."""
 
@@ -77,13 +101,15 @@
         self.addCleanup(port.stopListening)
         return f"127.0.0.1:{port.getHost().port}"
 
-    def exchange(self, address: str, progress_ms: float | None) -> Deferred[HttpAnswer]:
+    def exchange(
+        self, address: str, progress_ms: float | None, deadline_ms: float = DEADLINE_MS
+    ) -> Deferred[HttpAnswer]:
         """Start an exchange."""
         transport = HttpTransport(reactor)
         # Lets the server note the end of its connection, and end its timer.
         self.addCleanup(deferLater, reactor, 0.1)
         self.addCleanup(transport.close)
-        exchange = HttpExchange(address, "GET", "/", (), b"", DEADLINE_MS, progress_ms=progress_ms)
+        exchange = HttpExchange(address, "GET", "/", (), b"", deadline_ms, progress_ms=progress_ms)
         return Deferred.fromCoroutine(transport.exchange(exchange))
 
     async def test_a_transfer_that_moves_is_not_ended(self) -> None:
@@ -111,6 +137,17 @@
         error = await self.assertFailure(self.exchange(address, 5000.0), ExchangeFailedError)
         self.assertIn(str(MAX_BODY_BYTES), str(error))
 
+    async def test_a_head_without_end_is_given_up(self) -> None:
+        """Guards against memory that grows with headers or interim responses that never end."""
+        lines = b"".join(b"a%d: b\r\n" % number for number in range(1000))
+        interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        for start, piece in ((b"HTTP/1.1 200 OK\r\n", lines), (b"", interim * 100)):
+            address = self.start(lambda start=start, piece=piece: _EndlessHeadServer(start, piece))
+            error = await self.assertFailure(
+                self.exchange(address, None, deadline_ms=3000.0), ExchangeFailedError
+            )
+            self.assertNotIn("no answer within", str(error))
+
 
 if __name__ == "__main__":
     unittest.main()
