Acknowledge a departure when the store has it

Cause: the node acknowledged first and wrote after.

Fix: the acknowledgement waits until the entry holds the departure, for 0.4 s at most: a backend server waits a second for it and leaves without one later. New work is refused before, as it was.

--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -94,6 +94,10 @@
             await asyncio.wait_for(stopped, FAREWELL_TIMEOUT_S)
         await self._store.close().asFuture(loop)
 
+    def departures_kept(self) -> Deferred[None]:
+        """Wait, for a bounded time, until the store has the departures heard so far."""
+        return self._registration.departures_kept()
+
     @property
     def handlers(self) -> EffectHandlers:
         """What carries out each effect that concerns the store, by its type."""
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -12,6 +12,8 @@
 from types import TracebackType
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from bamboonotch_core.configuration import CallerLimits
 from bamboonotch_core.effects import (
     CloseLink,
@@ -178,6 +180,10 @@
         finally:
             self._draining_queue = False
 
+    def departures_kept(self) -> Deferred[None]:
+        """Wait, for a bounded time, until departures would outlive this process."""
+        return self._store.departures_kept()
+
     def report(self, report: Report) -> None:
         """Log a report, keep it for the explain interface and count it.
 
--- a/packages/node/src/bamboonotch_node/runtime/_store_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_store_driver.py
@@ -10,7 +10,7 @@
 from types import TracebackType
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from bamboonotch_core.effects import (
     CompeteForSlot,
@@ -105,6 +105,10 @@
             await Deferred.fromCoroutine(self._slots.stop()).asFuture(asyncio.get_running_loop())
         await self._client.close().asFuture(asyncio.get_running_loop())
 
+    def departures_kept(self) -> Deferred[None]:
+        """Return at once, because this store keeps no departures."""
+        return succeed(None)
+
     @property
     def handlers(self) -> EffectHandlers:
         """What carries out each effect that concerns the store, by its type."""
--- a/packages/node/src/bamboonotch_node/runtime/_surroundings.py
+++ b/packages/node/src/bamboonotch_node/runtime/_surroundings.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import Any, Protocol
 
+from twisted.internet.defer import Deferred
+
 from bamboonotch_core.distribution import DistributionState, make_distribution_state
 from bamboonotch_core.documents import DocumentState
 from bamboonotch_core.effects import Report
@@ -29,6 +31,9 @@
     async def __aexit__(self, *error: Any) -> None:
         """Release them."""
 
+    def departures_kept(self) -> Deferred[None]:
+        """Wait, for a bounded time, until departures would outlive this process."""
+
     @property
     def handlers(self) -> EffectHandlers:
         """What carries out each effect that concerns the store, by its type."""
--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -16,7 +16,7 @@
 from random import Random
 from typing import Any
 
-from twisted.internet.defer import CancelledError, Deferred, DeferredLock
+from twisted.internet.defer import CancelledError, Deferred, DeferredLock, succeed
 
 from bamboonotch_core.announcements import LEAVING_STATES, MAX_DEPARTURES, with_departure
 from bamboonotch_core.effects import Report
@@ -47,6 +47,9 @@
 MAX_RETRY_S = 1.0
 # Time over which the nodes of a fleet register again when the store was restored from a copy.
 REGISTER_AGAIN_S = 1.0
+# A backend server waits for an acknowledgement for a second, and leaves without one some seconds
+# later. A store that is slow or away must not cost it either.
+KEEP_LIMIT_S = 0.4
 
 
 @dataclass(frozen=True)
@@ -180,6 +183,7 @@
         self._writing = DeferredLock()
         self._departures: tuple[BackendServerAnnounced, ...] = ()
         self._is_entry_current = False
+        self._waiting: list[tuple[Any, Deferred[None]]] = []
 
     def start(self) -> None:
         """Register, and stay registered until stopped."""
@@ -198,6 +202,23 @@
             writing = Deferred.fromCoroutine(self._write_entry(self._lease))
             writing.addErrback(self._write_failed)
 
+    def departures_kept(self) -> Deferred[None]:
+        """Wait until the store has the departures heard so far, for ``KEEP_LIMIT_S`` at most."""
+        if self._is_entry_current or not self._departures:
+            return succeed(None)
+        kept: Deferred[None] = Deferred()
+        timer = self._reactor.callLater(KEEP_LIMIT_S, kept.callback, None)
+        self._waiting.append((timer, kept))
+        return kept
+
+    def _note_kept(self) -> None:
+        """Let those go on who wait for the departures."""
+        waiting, self._waiting = self._waiting, []
+        for timer, kept in waiting:
+            if timer.active():
+                timer.cancel()
+                kept.callback(None)
+
     def note_epoch(self, epoch: int) -> None:
         """Register again if the store was restored since the lease was created.
 
@@ -306,6 +327,8 @@
         self._check_epoch(lease, written.epoch)
         self._revision = written.revision
         self._is_entry_current = departures is self._departures
+        if self._is_entry_current:
+            self._note_kept()
 
     def _write_failed(self, failure: Any) -> None:
         # The next renewal writes the entry again.
