--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -110,6 +110,7 @@
         self.refused: set[str] = set()
         self.silent: set[str] = set()
         self.changed = asyncio.Condition()
+        self._watched_s: dict[str, float] = {}
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -122,6 +123,11 @@
         host, port = server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    def watching(self, within_s: float) -> set[str]:
+        """Return the nodes that have watched lately."""
+        now_s = time.monotonic()
+        return {name for name, at_s in self._watched_s.items() if now_s - at_s < within_s}
+
     def start(self) -> None:
         """Begin to end leases."""
         task = asyncio.get_running_loop().create_task(self._expire())
@@ -207,6 +213,7 @@
                 return 404, {"store-revision": self.revision}
             return 200, {**item, "store-revision": self.revision}
         if call == "kv-watch":
+            self._watched_s[name] = time.monotonic()
             return await self._watch(query)
         if call == "kv-txn":
             return await self._transact(name, json.loads(body))
