--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -597,8 +597,9 @@
         shutil.rmtree(self.directory, ignore_errors=True)
 
     async def add(
-        self, service: str, zone: str = "ktm-a", region: str = "bagmati", **options: Any
-    ) -> tuple[Node, Backend]:
+        self, service: str, zone: str = "ktm-a", region: str = "bagmati",
+        kind: type[Backend] | None = None, **options: Any,
+    ) -> tuple[Node, Any]:
         """Start a node and the backend beside it."""
         number = len(self.nodes) + 1
         node = Node(
@@ -606,7 +607,9 @@
             self.bounds,
         )
         node.store_address = await self.store.listen(node.name, f"{NET}.200")
-        backend = Backend(self.record, f"i-{number:04x}", service, zone, node.ip, **options)
+        backend = (kind or Backend)(
+            self.record, f"i-{number:04x}", service, zone, node.ip, **options
+        )
         await backend.start()
         backend.control = node.control
         node.start()
