--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -18,6 +18,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from pathlib import Path
 from typing import Any
@@ -25,6 +26,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 NET = f"127.{random.randint(20, 120)}.{random.randint(1, 250)}"
 HEARTBEAT_S = 1.5
+LIMIT_S = 112.0
+_processes: list[subprocess.Popen[bytes]] = []
 
 
 def free_port(ip: str) -> int:
@@ -412,7 +415,7 @@
             "node": self.name, "region": self.region, "zone": self.zone, "service": self.service,
             "ip": self.ip, "internal-port-range.0": str(self.ports["peer"]),
             "listen-addrs.outbound": self.outbound, "listen-addrs.ready": self.ready,
-            "listen-addrs.control": self.control, "limits.link-mbps": "1000.0",
+            "listen-addrs.control": self.control, "limits.link-mbps": self.bounds.get("link-mbps", "1000.0"),
             "platform.address": self.store_address, "heartbeat-s": str(HEARTBEAT_S),
             "bounds.grace-s": self.bounds["grace-s"],
             "bounds.retry-budget-ratio": self.bounds["retry-budget-ratio"],
@@ -443,6 +446,7 @@
             cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
         )
         log.close()
+        _processes.append(self.process)
         self.record.note(f"{self.name}: started")
 
     def send(self, number: signal.Signals) -> None:
@@ -643,10 +647,31 @@
 def run_case(folder: Path, play: Any) -> None:
     """Run a case and exit with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    try:
-        broken = asyncio.run(asyncio.wait_for(play(folder, trouble), 115))
-    except (CannotRunError, TimeoutError, OSError) as error:
-        print(f"the case could not run: {error!r}")
-        sys.exit(2)
-    print("the rule was broken" if broken else "the rule held")
-    sys.exit(1 if broken else 0)
+
+    def end(status: int) -> None:
+        for process in _processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        sys.stdout.flush()
+        os._exit(status)
+
+    def give_up() -> None:
+        print("the case could not run: it took too long")
+        end(2)
+
+    watchdog = threading.Timer(LIMIT_S, give_up)
+    watchdog.daemon = True
+    watchdog.start()
+
+    async def main() -> None:
+        try:
+            broken = await play(folder, trouble)
+        except (CannotRunError, TimeoutError, OSError) as error:
+            print(f"the case could not run: {error!r}")
+            end(2)
+        print("the rule was broken" if broken else "the rule held")
+        # The stand-ins' own tasks need no orderly end.
+        end(1 if broken else 0)
+
+    asyncio.run(main())
