--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -282,7 +282,13 @@
     """
 
     def __init__(
-        self, record: Record, instance: str, service: str, zone: str, ip: str, slots: int = 6,
+        self,
+        record: Record,
+        instance: str,
+        service: str,
+        zone: str,
+        ip: str,
+        slots: int = 6,
         work_s: float = 0.03,
     ) -> None:
         self.record, self.instance, self.service, self.zone = record, instance, service, zone
@@ -327,7 +333,10 @@
             "address": self.address,
             "born": self.born,
             "info": {
-                "service": self.service, "version": "v1", "zone": self.zone, "slots": self.slots,
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "slots": self.slots,
             },
             "status": {"state": self.state, "sequence": self.sequence, "cold-left-s": 0},
         }
@@ -372,7 +381,11 @@
             abort(writer)
 
     async def respond(
-        self, method: str, target: str, fields: dict[str, str], body: bytes,
+        self,
+        method: str,
+        target: str,
+        fields: dict[str, str],
+        body: bytes,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Run a request and answer it."""
@@ -385,7 +398,9 @@
             self.record.note(f"backend {self.instance}: runs {request} {method} {target}")
             await asyncio.sleep(self.work_s)
         answer = {
-            "Attempt-Id": request, "Response-Signature": f"{request}.1", **self.extra_fields,
+            "Attempt-Id": request,
+            "Response-Signature": f"{request}.1",
+            **self.extra_fields,
         }
         writer.write(make_message(200, answer, f"answer to {request} ".encode() * 4))
 
@@ -400,8 +415,15 @@
     """One process of the project, with the settings of a small deployment."""
 
     def __init__(
-        self, record: Record, name: str, service: str, zone: str, region: str, number: int,
-        directory: Path, bounds: dict[str, str],
+        self,
+        record: Record,
+        name: str,
+        service: str,
+        zone: str,
+        region: str,
+        number: int,
+        directory: Path,
+        bounds: dict[str, str],
     ) -> None:
         self.record, self.name, self.service = record, name, service
         self.zone, self.region, self.bounds = zone, region, bounds
@@ -418,11 +440,18 @@
     def write_settings(self) -> None:
         """Fill in the template of the deploy file."""
         values = {
-            "node": self.name, "region": self.region, "zone": self.zone, "service": self.service,
-            "ip": self.ip, "internal-port-range.0": str(self.ports["peer"]),
-            "listen-addrs.outbound": self.outbound, "listen-addrs.ready": self.ready,
-            "listen-addrs.control": self.control, "limits.link-mbps": self.bounds.get("link-mbps", "1000.0"),
-            "platform.address": self.store_address, "heartbeat-s": str(HEARTBEAT_S),
+            "node": self.name,
+            "region": self.region,
+            "zone": self.zone,
+            "service": self.service,
+            "ip": self.ip,
+            "internal-port-range.0": str(self.ports["peer"]),
+            "listen-addrs.outbound": self.outbound,
+            "listen-addrs.ready": self.ready,
+            "listen-addrs.control": self.control,
+            "limits.link-mbps": self.bounds.get("link-mbps", "1000.0"),
+            "platform.address": self.store_address,
+            "heartbeat-s": str(HEARTBEAT_S),
             "bounds.grace-s": self.bounds["grace-s"],
             "bounds.retry-budget-ratio": self.bounds["retry-budget-ratio"],
             "bounds.retry-budget-slack": self.bounds["retry-budget-slack"],
@@ -436,7 +465,8 @@
         """Start the process as the deploy file says."""
         self.write_settings()
         environment = {
-            "PATH": os.environ["PATH"], "HOME": os.environ.get("HOME", "/"),
+            "PATH": os.environ["PATH"],
+            "HOME": os.environ.get("HOME", "/"),
             "LANG": os.environ.get("LANG", "C.UTF-8"),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "BAMBOONOTCH_CONFIG": str(self.settings_path),
@@ -449,7 +479,11 @@
         log = self.log_path.open("ab")
         self.process = subprocess.Popen(
             ["python3", "-OO", "-S", "-m", "bamboonotch_platform"],
-            cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+            cwd=ROOT,
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
         )
         log.close()
         _processes.append(self.process)
@@ -501,8 +535,16 @@
 
 
 async def send_request(
-    record: Record, node: Node, method: str, host: str, path: str, timeout_ms: int = 2500,
-    body: bytes = b"", request: str = "", fields: dict[str, str] | None = None, quiet: bool = False,
+    record: Record,
+    node: Node,
+    method: str,
+    host: str,
+    path: str,
+    timeout_ms: int = 2500,
+    body: bytes = b"",
+    request: str = "",
+    fields: dict[str, str] | None = None,
+    quiet: bool = False,
 ) -> Answer:
     """Send one request on a new connection; status 0 when there was no complete answer."""
     request = request or new_id()
@@ -516,7 +558,9 @@
         return answer
     try:
         lines = [
-            f"{method} {path} HTTP/1.1", f"Host: {host}", f"Attempt-Id: {request}",
+            f"{method} {path} HTTP/1.1",
+            f"Host: {host}",
+            f"Attempt-Id: {request}",
             f"Timeout-Remaining: {timeout_ms}",
             *(f"{name}: {value}" for name, value in (fields or {}).items()),
         ]
@@ -538,7 +582,10 @@
 
 
 HIMAL = {
-    "grace-s": "6", "retry-budget-ratio": "0.2", "retry-budget-slack": "62", "config-apply-s": "2",
+    "grace-s": "6",
+    "retry-budget-ratio": "0.2",
+    "retry-budget-slack": "62",
+    "config-apply-s": "2",
 }
 
 
@@ -547,9 +594,13 @@
 ) -> dict[str, Any]:
     """Return a rule of a configuration."""
     return {
-        "name": name, "route-kind": kind, "target-latency-s": 0.4, "priority": 2,
+        "name": name,
+        "route-kind": kind,
+        "target-latency-s": 0.4,
+        "priority": 2,
         "match": {"prefix": prefix},
-        "action": {"timeout-s": 1.2, "max-attempts": 2, **action}, **more,
+        "action": {"timeout-s": 1.2, "max-attempts": 2, **action},
+        **more,
     }
 
 
@@ -561,14 +612,19 @@
         {
             "version": f"r{version}",
             "limits": {
-                "max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout-s": 3,
+                "max-header-bytes": 16384,
+                "max-body-bytes": 67108864,
+                "header-timeout-s": 3,
                 "idle-timeout-s": 15,
             },
             "listeners": [{"host": host, "rules": items} for host, items in rules.items()],
             "clusters": [
                 {
-                    "name": name, "health-path": "/health", "max-connections": 130,
-                    "protocol": "h1", "tls": False,
+                    "name": name,
+                    "health-path": "/health",
+                    "max-connections": 130,
+                    "protocol": "h1",
+                    "tls": False,
                 }
                 for name in services
             ],
@@ -607,13 +663,23 @@
         shutil.rmtree(self.directory, ignore_errors=True)
 
     async def add(
-        self, service: str, zone: str = "ktm-a", region: str = "bagmati",
-        kind: type[Backend] | None = None, **options: Any,
+        self,
+        service: str,
+        zone: str = "ktm-a",
+        region: str = "bagmati",
+        kind: type[Backend] | None = None,
+        **options: Any,
     ) -> tuple[Node, Any]:
         """Start a node and the backend beside it."""
         number = len(self.nodes) + 1
         node = Node(
-            self.record, f"sidecar-{zone}-{number}", service, zone, region, number, self.directory,
+            self.record,
+            f"sidecar-{zone}-{number}",
+            service,
+            zone,
+            region,
+            number,
+            self.directory,
             self.bounds,
         )
         node.store_address = await self.store.listen(node.name, f"{NET}.200")
