--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,9 @@
-"""Machines in touch run an old configuration while the machines that read the store are cut off."""
+"""A key that a configuration takes away stays in use when a rank in it is above 15."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import sys
 from pathlib import Path
 
@@ -10,69 +11,80 @@
 
 from world import World, make_configuration, make_rule, run_case, send_request  # noqa: E402
 
-HOST, PATH = "jepu9.example", "/lepu270/2f"
-CONFIG_APPLY_S = 2.0
-CUT_S = 5.5
-MACHINES = 40
-PLACES = (("ktm-a", "bagmati"), ("pkr-a", "gandaki"), ("ktm-b", "bagmati"), ("pkr-b", "gandaki"))
+HOST, OTHER_HOST, PATH = "jepu9.example", "hulo84.example", "/lepu270/2f"
+KEPT_KEY, REMOVED_KEY = "dedev3nax7u27gxprymh", "2rrytapjsujqurtyiikd"
+REVOKE_S = 5.0
+WATCHED_S = 12.0
+BOUNDS = {
+    "grace-s": "6",
+    "retry-budget-ratio": "0.2",
+    "retry-budget-slack": "216",
+    "config-apply-s": "3",
+    "BAMBOONOTCH_ACCESS_REVOCATION_MS": "5 s",
+    "BAMBOONOTCH_QUOTAS_WINDOW_MS": "5 s",
+    "BAMBOONOTCH_QUOTAS_OVERAGE": "0.1",
+    "BAMBOONOTCH_QUOTAS_SLACK": "20",
+}
 
 
-def configuration(version: int, service: str) -> bytes:
-    rules = {HOST: [make_rule("r-menu", "/lepu270/", {"service": service})]}
-    return make_configuration(version, rules, ["menu", "orders"])
+def configuration(version: int, keys: list[str], rules: dict[str, list]) -> bytes:
+    """Return a configuration with one tenant."""
+    tenants = [{"name": "bozi300", "api-keys": keys, "priority": 1, "rate-per-s": 0, "burst": 0}]
+    return make_configuration(version, rules, ["releves", "facturation"], tenants=tenants)
 
 
 async def play(folder: Path, trouble: bool) -> bool:
     """Play the case and return whether the rule was broken."""
-    async with World(folder) as world:
+    async with World(folder, BOUNDS) as world:
         record, store = world.record, world.store
-        await store.put("op/config", configuration(3, "menu"))
-        for number in range(MACHINES):
-            zone, region = PLACES[number % 4]
-            await world.add("menu" if number % 2 else "orders", zone, region)
+        first = make_rule("lookup", "/lepu270/", {"service": "releves"})
+        await store.put("op/config", configuration(3, [KEPT_KEY, REMOVED_KEY], {HOST: [first]}))
+        for service, zone in (("releves", "ktm-a"), ("releves", "ktm-b"), ("facturation", "ktm-a")):
+            await world.add(service, zone)
+
+        async def call(node, key: str, request: str = "") -> int:
+            answer = await send_request(
+                record,
+                node,
+                "GET",
+                HOST,
+                PATH,
+                request=request,
+                fields={"Authorization": f"Bearer {key}"},
+                quiet=not request,
+            )
+            return answer.status
+
         for node in world.nodes:
-            await world.wait_served(node, HOST, PATH, 60.0)
-        await asyncio.sleep(8.0)
-        readers = store.watching(3.0)
-        record.note(f"{len(readers)} of {MACHINES} machines read the store: {sorted(readers)}", echo=True)
-        calm = [node for node in world.nodes if node.name not in readers][:16]
-        if trouble:
-            store.silent = set(readers)
-            record.note("these machines are cut off from the store", echo=True)
-        await asyncio.sleep(0.05)
-        await store.put("op/config", configuration(4, "orders"))
-        acked_s = record.now_s()
-        record.note("r4 is acknowledged: the route leads to orders", echo=True)
-        sent: dict[str, tuple[float, str]] = {}
 
-        async def probe(node) -> None:
-            number = 0
-            while record.now_s() < acked_s + CUT_S - 0.3:
-                number += 1
-                request = f"{node.name}-{number}"
-                sent[request] = (record.now_s(), node.name)
-                await send_request(record, node, "GET", HOST, PATH, request=request, quiet=True)
-                await asyncio.sleep(0.15)
+            async def served(node=node) -> bool:
+                return await call(node, REMOVED_KEY) == 200
 
-        await asyncio.gather(*(probe(node) for node in calm))
-        store.silent = set()
-        stale = []
-        for backend in world.backends:
-            if backend.service != "menu":
-                continue
-            for ran_s, request, _ in backend.runs:
-                if request in sent and sent[request][0] > acked_s + CONFIG_APPLY_S:
-                    stale.append((sent[request][0] - acked_s, request))
-        for late_s, request in sorted(stale):
-            record.note(f"{request}: sent {late_s:.2f} s after the acknowledgement, run by menu")
-        by_node = {sent[request][1] for _, request in stale}
+            await world.wait_until(served, 25.0, "served request")
+        await asyncio.sleep(4.0)
+        second = make_rule("history", "/xapu221/", {"service": "facturation"})
+        second["priority"] = 20 if trouble else 2
+        value = configuration(4, [KEPT_KEY], {HOST: [first], OTHER_HOST: [second]})
+        record.note(f"r4 is written: {json.loads(value)['listeners']}")
+        await store.put("op/config", value)
+        acked_s = record.now_s()
+        record.note("r4 is acknowledged: it takes a key away and adds a route", echo=True)
+        sent: dict[str, float] = {}
+        while record.now_s() < acked_s + WATCHED_S:
+            for number, node in enumerate(world.nodes):
+                request = f"late-{number}-{len(sent)}"
+                sent[request] = record.now_s()
+                await call(node, REMOVED_KEY, request)
+            await asyncio.sleep(0.3)
+        ran = {run[1] for backend in world.backends for run in backend.runs}
+        late = [sent[item] - acked_s for item in sent if item in ran]
+        late = [item for item in late if item > REVOKE_S]
         record.note(
-            f"{len(stale)} requests at {len(by_node)} of {len(calm)} machines in touch were sent later than "
-            f"{CONFIG_APPLY_S} s after the acknowledgement and run by the old service, the last "
-            f"{max(stale, default=(0.0, ''))[0]:.2f} s after it",
+            f"{len(late)} requests with the removed key, sent up to {max(late, default=0.0):.1f} s "
+            f"after the acknowledgement, were run",
             echo=True,
         )
-        return bool(stale)
+        return bool(late)
 
 
 run_case(Path(__file__).resolve().parent, play)
