--- a/review/8/case.py
+++ b/review/8/case.py
@@ -36,6 +36,7 @@
     breaks_off = False
 
     async def respond(self, method, target, fields, body, writer) -> None:
+        """Answer a request whole or in part."""
         request = fields.get("attempt-id", "")
         self.runs.append((self.record.now_s(), request, target))
         self.record.note(f"backend {self.instance}: runs {request}")
@@ -53,7 +54,7 @@
 
 
 async def call(world: World, node) -> tuple[str, bool]:
-    """Send a menu read and, ahead, a download; return the menu read's id, whether it is answered."""
+    """Send a menu read and a download behind it; return the first's id, and if it is answered."""
     record = world.record
     host, port = node.outbound.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
@@ -117,7 +118,10 @@
         faulty.breaks_off = trouble
         results = [await call(world, ingress) for _ in range(CONNECTIONS)]
         ran = {
-            run[1] for backend in world.backends if backend.service == "menu" for run in backend.runs
+            run[1]
+            for backend in world.backends
+            if backend.service == "menu"
+            for run in backend.runs
         }
         lost = [request for request, answered in results if not answered and request in ran]
         record.note(
