Stop confirming a version once a newer one was refused

What callers saw: a key that an acknowledged version took away worked for as long as that version stood, if the nodes refused the version for another field.

Cause: the answer of the store that brings a refused version was taken for a confirmation of the version before it, and so were each unchanged watch after it and each heartbeat of a peer that had refused it. One field meant both how current the knowledge of the store is and that the held version is the newest.

Ruled out: documents that cannot be decoded (they confirm nothing, but were read whole every 100 ms); quotas, routes and roll-outs (none of them rests on this age).

Now `confirmation` is about the newest version that is known, held or refused, and what is known of the held one stays at the moment before the refusal. Heartbeats state the version that they confirm, so the refusal spreads without the document and without reads of the store. Related paths on the same way: a malformed configuration whose version can be read counts as refused and is not read again; a peer is not asked again for a version that was refused here; damaged bytes are not remembered as an invalid version; a restore does not confirm the version before a refused one. Operators see the refused version in the status, in `members` and as a gauge.

--- a/packages/cli/src/bamboonotch_cli/admin.py
+++ b/packages/cli/src/bamboonotch_cli/admin.py
@@ -55,6 +55,9 @@
         self.node_id: str = value["node_id"]
         self.running_version: int = value["running_version"]
         self.held_version: int = value["held_version"]
+        # Absent in the answers of earlier releases.
+        superseded_by = value.get("superseded_by", 0)
+        self.superseded_by: int = superseded_by if type(superseded_by) is int else 0
         self.serving: bool = value["serving"]
         self.reason: str = value["reason"]
         self.members_known: int = value["members_known"]
--- a/packages/cli/src/bamboonotch_cli/output.py
+++ b/packages/cli/src/bamboonotch_cli/output.py
@@ -237,7 +237,11 @@
     if status is None:
         return f"{start}  {'dead' if member.is_dead else 'unreachable: ' + member.fault}"
     serving = "serving" if status.serving else f"not serving: {status.reason}"
-    return f"{start}  running {status.running_version}  held {status.held_version}  {serving}"
+    superseded = f"  refused {status.superseded_by}" if status.superseded_by else ""
+    return (
+        f"{start}  running {status.running_version}  held {status.held_version}{superseded}"
+        f"  {serving}"
+    )
 
 
 @singledispatch
--- a/packages/core/src/bamboonotch_core/_versions_part.py
+++ b/packages/core/src/bamboonotch_core/_versions_part.py
@@ -102,6 +102,7 @@
         distribution.confirmation.revision,
         distribution.confirmation.confirmed_ms,
         distribution.store_epoch,
+        distribution.refused_version if distribution.is_superseded else 0,
     )
 
 
@@ -139,10 +140,9 @@
 @_knowledge_of.register
 def _(distribution: DocumentState) -> ConfigurationKnowledge:
     # A version that was refused is not run, but it may contain keys that the running one lacks.
-    newest_refused = max(distribution.refused, default=0)
     return ConfigurationKnowledge(
-        distribution.confirmation.confirmed_ms,
-        distribution.behind_since_ms is not None or newest_refused > distribution.held_version,
+        distribution.held_confirmed_ms,
+        distribution.behind_since_ms is not None or distribution.is_superseded,
     )
 
 
--- a/packages/core/src/bamboonotch_core/documents/_epochs.py
+++ b/packages/core/src/bamboonotch_core/documents/_epochs.py
@@ -39,6 +39,7 @@
     _report_restore(step, before, revision, node_id)
     if step.state.confirmation.confirmed_ms is not None:
         step.update(confirmation=Confirmation(), restored_ms=step.now_ms)
+    step.update(superseded_confirmed_ms=None)
     step.update(peer_statements=Map())
     # A watch in progress waits after a revision of the former epoch.
     step.update(reading=DocumentReading())
--- a/packages/core/src/bamboonotch_core/documents/_peers.py
+++ b/packages/core/src/bamboonotch_core/documents/_peers.py
@@ -6,7 +6,7 @@
 from bamboonotch_core.distribution import Neighbour
 from bamboonotch_core.documents._state import EncodedDocument
 from bamboonotch_core.documents._step import Step
-from bamboonotch_core.errors import BamboonotchError
+from bamboonotch_core.errors import BamboonotchError, ConfigurationError
 from bamboonotch_core.messages import SnapshotChunk, VersionAnnounce, VersionRequest
 
 __all__ = [
@@ -54,9 +54,13 @@
         return
     try:
         document, configuration = decode_snapshot(message.data, message.digest, step.held)
-    except BamboonotchError as error:
+    except ConfigurationError as error:
         step.refuse_version(message.version, peer.node_id, error)
         return
+    except BamboonotchError as error:
+        # The bytes are damaged, which says nothing of the version.
+        step.report("message-refused", peer=peer.node_id, reason=str(error))
+        return
     step.hold(message.version, document, configuration, "peer", peer.node_id)
     # The peer's encoding is passed on as it is, so that each version is compressed once.
     step.update(encoded=EncodedDocument(message.version, message.digest, message.data))
@@ -68,7 +72,7 @@
     newer = {
         link_id: version
         for link_id, version in state.peer_versions.items()
-        if version > state.held_version
+        if version > state.held_version and version not in state.refused
     }
     if newer:
         newer = {link_id: version for link_id, version in newer.items() if link_id in step.links}
--- a/packages/core/src/bamboonotch_core/documents/_reading.py
+++ b/packages/core/src/bamboonotch_core/documents/_reading.py
@@ -259,7 +259,10 @@
     if heartbeat.confirmed_age_ms is None or stated_ms is None:
         return
     confirmed_ms = stated_ms - heartbeat.confirmed_age_ms
-    if heartbeat.held_version <= step.state.held_version:
+    if heartbeat.confirmed_version > heartbeat.held_version:
+        _take_refusal(step, peer, heartbeat, confirmed_ms)
+        return
+    if heartbeat.held_version <= step.state.newest_version:
         _confirm(step, heartbeat.confirmed_revision, confirmed_ms)
         return
     # While versions follow each other faster than they travel, peers are always a version ahead.
@@ -270,6 +273,16 @@
     step.update(peer_statements=statements)
 
 
+def _take_refusal(step: Step, peer: Neighbour, heartbeat: Heartbeat, confirmed_ms: float) -> None:
+    """Take over that the newest version is one that the peer has refused."""
+    step.note_refused(heartbeat.confirmed_version, peer.node_id)
+    state = step.state
+    seen = state.held_version >= state.refused_version or state.refused_version in state.refused
+    # A node that has not seen the version reads from before it when it is to read: it may be of a
+    # release that accepts it.
+    _confirm(step, heartbeat.confirmed_revision if seen else 0, confirmed_ms)
+
+
 def apply_peer_statements(step: Step) -> None:
     """Take over what peers stated of the version that is held now, or of older ones."""
     for link_id, statement in step.state.peer_statements.items():
--- a/packages/core/src/bamboonotch_core/documents/_reducer.py
+++ b/packages/core/src/bamboonotch_core/documents/_reducer.py
@@ -8,7 +8,7 @@
 
 from functools import singledispatch
 
-from bamboonotch_core.configuration import Document, parse_configuration
+from bamboonotch_core.configuration import Configuration, parse_configuration
 from bamboonotch_core.distribution import MembershipView, Neighbour
 from bamboonotch_core.documents._epochs import note_store_epoch
 from bamboonotch_core.documents._peers import (
@@ -89,16 +89,22 @@
 
 @_handle.register
 def _(event: DocumentRead, step: Step) -> None:
+    is_newer = event.version > step.state.held_version
+    # Before the answer is taken: it does not confirm the held version if this one is refused.
+    configuration = _parse_newer(step, event) if is_newer else None
     note_store_answer(step, event)
-    if event.version > step.state.held_version:
-        _accept_document(step, event.version, event.document)
+    if configuration is not None:
+        step.hold(event.version, event.document, configuration, "store", "")
+    if is_newer:
         delay_read_in_burst(step)
 
 
 @_handle.register
 def _(event: DocumentRefused, step: Step) -> None:
+    if event.version:
+        step.note_refused(event.version, "")
     note_store_answer(step, event)
-    step.report("version-refused", source="store", reason=event.reason)
+    step.report("version-refused", version=event.version, source="store", reason=event.reason)
 
 
 @_handle.register
@@ -164,10 +170,10 @@
     take_chunk(step, peer, message)
 
 
-def _accept_document(step: Step, version: int, document: Document) -> None:
+def _parse_newer(step: Step, event: DocumentRead) -> Configuration | None:
+    """Return the typed values of a newer document, or refuse it."""
     try:
-        configuration = parse_configuration(document, step.held)
+        return parse_configuration(event.document, step.held)
     except BamboonotchError as error:
-        step.refuse_version(version, "", error)
-        return
-    step.hold(version, document, configuration, "store", "")
+        step.refuse_version(event.version, "", error)
+        return None
--- a/packages/core/src/bamboonotch_core/documents/_state.py
+++ b/packages/core/src/bamboonotch_core/documents/_state.py
@@ -45,11 +45,11 @@
 
 @dataclass(frozen=True)
 class Confirmation:
-    """What is known of how current the held version is.
+    """What is known of how current a version is.
 
-    :param revision: revision of the source as of which the held version was the newest; 0 if that
-        is not known.
-    :param confirmed_ms: no later than a moment at which the held version was the newest one in the
+    :param revision: revision of the source as of which the version was the newest; 0 if that is not
+        known.
+    :param confirmed_ms: no later than a moment at which the version was the newest one in the
         source, on the monotonic clock in milliseconds, or ``None``.
     """
 
@@ -111,7 +111,7 @@
     :param linked_ms: since when this node has had peers, in milliseconds, or ``None`` without any.
     :param reader_missed_ms: since when this node has missed the link to a store reader, in
         milliseconds, or ``None``.
-    :param confirmation: how current the held version is.
+    :param confirmation: how current the newest known version is, held or refused.
     :param peer_statements: the freshest confirmation of a newer version that the peer of each link
         has stated, by link id; it holds here once such a version is held.
     :param store_epoch: newest epoch of the source that is known, to which ``reading`` and
@@ -119,6 +119,10 @@
     :param restored_ms: when this node learned that the source was restored, in milliseconds, or
         ``None``.
     :param refused: versions whose documents were invalid, oldest first.
+    :param refused_version: newest version that is known to have been refused here or by a peer; it
+        supersedes the held one while it is newer. 0 before any.
+    :param superseded_confirmed_ms: as of when the held version was known to be the newest before
+        that one was refused, in milliseconds, or ``None``.
     """
 
     settings: NodeSettings
@@ -146,6 +150,25 @@
     store_epoch: int = 0
     restored_ms: float | None = None
     refused: tuple[int, ...] = ()
+    refused_version: int = 0
+    superseded_confirmed_ms: float | None = None
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether a version that was refused is newer than the held one."""
+        return self.refused_version > self.held_version
+
+    @property
+    def newest_version(self) -> int:
+        """The newest version that is known, held or refused."""
+        return max(self.held_version, self.refused_version)
+
+    @property
+    def held_confirmed_ms(self) -> float | None:
+        """No later than a moment at which the held version was the newest one, or ``None``."""
+        return (
+            self.superseded_confirmed_ms if self.is_superseded else self.confirmation.confirmed_ms
+        )
 
     @property
     def running_version(self) -> int:
--- a/packages/core/src/bamboonotch_core/documents/_step.py
+++ b/packages/core/src/bamboonotch_core/documents/_step.py
@@ -78,12 +78,28 @@
 
         :param node_id: the peer that sent it, or empty for the store.
         """
+        self.note_refused(version, "")
         if version in self.state.refused:
             return
         self.update(refused=(*self.state.refused, version)[-MAX_REFUSED_VERSIONS:])
         reason = str(error)[:MAX_REASON_CHARACTERS]
         self.report("version-refused", version=version, peer=node_id, reason=reason)
 
+    def note_refused(self, version: int, node_id: str) -> None:
+        """Take note of a version that exists and was refused, here or by a peer.
+
+        What confirms that version, or that none is newer, does not confirm the held one any more.
+
+        :param node_id: the peer that stated it, or empty.
+        """
+        if version <= self.state.newest_version:
+            return
+        if not self.state.is_superseded:
+            self.update(superseded_confirmed_ms=self.state.confirmation.confirmed_ms)
+        self.update(refused_version=version)
+        held_version = self.state.held_version
+        self.report("version-superseded", version=held_version, by=version, peer=node_id)
+
     def hold(
         self,
         version: int,
--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -195,12 +195,14 @@
     :param revision: revision of the source to wait after; 0 if that is not known.
     :param epoch: epoch of the source; 0 if it states none.
     :param age_ms: how long before ``now_ms`` the answer is certain to have held, in milliseconds.
+    :param version: version of the document; 0 if it cannot be read either.
     """
 
     reason: str
     revision: int
     epoch: int = 0
     age_ms: float = 0.0
+    version: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/membership/_exchange.py
+++ b/packages/core/src/bamboonotch_core/membership/_exchange.py
@@ -65,6 +65,7 @@
         versions.store_epoch,
         number,
         link.heartbeats.received,
+        versions.confirmed_version,
     )
     step.send(link, heartbeat)
     sent_ms = (*link.heartbeats.sent_ms, step.now_ms)[-MAX_SENT_TIMES:]
--- a/packages/core/src/bamboonotch_core/membership/_state.py
+++ b/packages/core/src/bamboonotch_core/membership/_state.py
@@ -43,10 +43,13 @@
     :param held_version: newest configuration version that this node holds.
     :param running_version: configuration version that this node runs.
     :param serving: whether this node may serve requests.
-    :param confirmed_revision: revision of the store as of which the held version was the newest.
+    :param confirmed_revision: revision of the store as of which the confirmed version was the
+        newest.
     :param confirmed_ms: when the store stated that, on the monotonic clock in milliseconds, or
         ``None``.
     :param store_epoch: newest epoch of the store that is known, in which it stated that.
+    :param confirmed_version: the version that the confirmation is of, when it is not the held one;
+        0 for the held one.
     """
 
     held_version: int = 0
@@ -55,6 +58,7 @@
     confirmed_revision: int = 0
     confirmed_ms: float | None = None
     store_epoch: int = 0
+    confirmed_version: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/messages.py
+++ b/packages/core/src/bamboonotch_core/messages.py
@@ -41,8 +41,8 @@
     :param running_version: version that the sender runs.
     :param membership_digest: 64-bit digest of the sender's membership map.
     :param serving: whether the sender serves requests.
-    :param confirmed_revision: revision of the store as of which the held version was the newest; 0
-        while that is not known.
+    :param confirmed_revision: revision of the store as of which the confirmed version was the
+        newest; 0 while that is not known.
     :param confirmed_age_ms: time since the store stated that, in milliseconds, or ``None``.
     :param store_epoch: newest epoch of the store that the sender knows of, in which it was stated;
         0 if the store states none.
@@ -50,6 +50,8 @@
         numbers.
     :param echo: number of the last heartbeat that the sender has received on the link; 0 before
         any.
+    :param confirmed_version: the version that the confirmation is of, when it is not the held one:
+        a newer one that was refused. 0 for the held one.
     """
 
     held_version: int
@@ -61,6 +63,7 @@
     store_epoch: int = 0
     number: int = 0
     echo: int = 0
+    confirmed_version: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/core/tests/access/test_arrival.py
+++ b/packages/core/tests/access/test_arrival.py
@@ -194,13 +194,20 @@
     def test_newer_version(self) -> None:
         """Guards against 401 while a newer version is on its way, or was refused as invalid."""
         confirmation = Confirmation(9, NOW_MS)
-        for changes in ({"behind_since_ms": NOW_MS - 1}, {"refused": (3, 8)}):
+        refused = {"refused": (3, 8), "refused_version": 8, "superseded_confirmed_ms": NOW_MS}
+        for changes in ({"behind_since_ms": NOW_MS - 1}, refused):
             state = self.make_node(True, confirmation=confirmation, **changes)
             self.assertEqual(self.refuse(state, REMOVED_KEY), "access-unconfirmed")
             self.assertEqual(self.refuse(state, KEY), "no-ready-backend-server")
-        state = self.make_node(True, confirmation=confirmation, refused=(3, 6))
+        state = self.make_node(True, confirmation=confirmation, refused=(3, 6), refused_version=6)
         self.assertEqual(self.refuse(state, REMOVED_KEY), "unknown-key")
 
+    def test_refused_version(self) -> None:
+        """Guards against a removed key that works because its removal is in a refused version."""
+        refused = {"refused_version": 8, "superseded_confirmed_ms": NOW_MS - 4900.0}
+        state = self.make_node(True, confirmation=Confirmation(9, NOW_MS), **refused)
+        self.assertEqual(self.refuse(state, KEY), "access-unconfirmed")
+
     def test_own_log(self) -> None:
         """Guards against a log that states no age and is taken for confirmed."""
         state = self.make_node(False)
--- a/packages/core/tests/documents/test_knowledge_age.py
+++ b/packages/core/tests/documents/test_knowledge_age.py
@@ -35,6 +35,7 @@
 ACTIONS = (
     "write",
     "write",
+    "write-invalid",
     "pause",
     "resume",
     "hold",
@@ -77,7 +78,7 @@
 
     def check(self, node_id: str, documents: DocumentState) -> None:
         """Raise an error if the confirmation of a node is dated too late."""
-        confirmed_ms = documents.confirmation.confirmed_ms
+        confirmed_ms = documents.held_confirmed_ms
         superseded_ms = self.written_ms.get(documents.held_version + 1)
         if confirmed_ms is None or superseded_ms is None:
             return
@@ -91,6 +92,7 @@
         one, other = nodes[first], nodes[second]
         steps: dict[str, Callable[[], object]] = {
             "write": self.write,
+            "write-invalid": lambda: self.write(valid=False),
             "pause": lambda: self.pause(one),
             "resume": lambda: self.resume(one),
             "hold": lambda: self.holds.setdefault((one, other), []),
--- a/packages/core/tests/membership/whole_fleet.py
+++ b/packages/core/tests/membership/whole_fleet.py
@@ -62,6 +62,7 @@
         self.cut_from_store: set[str] = set()
         self.answer_delay_ms: dict[str, float] = {}
         self.written_ms = {VERSION: 0.0}
+        self.invalid: set[int] = set()
         self.on_step: Callable[[str, DocumentState], None] | None = None
         self._nodes: dict[str, NodeState] = {}
         self._watches: dict[str, _Watch] = {}
@@ -89,9 +90,11 @@
         """Return the nodes that keep a watch on the store."""
         return [node_id for node_id in self.alive() if is_store_reader(self.state(node_id))]
 
-    def write(self) -> None:
-        """Write a newer version, which ends every watch."""
+    def write(self, valid: bool = True) -> None:
+        """Write a newer version, which ends every watch; nodes refuse one that is not valid."""
         self.version += 1
+        if not valid:
+            self.invalid.add(self.version)
         self.revision += 1
         self.written_ms[self.version] = self.now_ms
         for node_id in list(self._watches):
@@ -182,6 +185,8 @@
         if not answer.version:
             return events.DocumentUnchanged(now_ms, answer.revision, 1, age_ms)
         document = make_document(answer.version)
+        if answer.version in self.invalid:
+            del document["services"]
         return events.DocumentRead(now_ms, answer.version, document, answer.revision, 1, age_ms)
 
 
--- a/packages/node/src/bamboonotch_node/metrics.py
+++ b/packages/node/src/bamboonotch_node/metrics.py
@@ -57,6 +57,9 @@
             )
         )
         self._versions = add(Gauge("configuration_version", "Held and running version"))
+        self._superseded = add(
+            Gauge("configuration_superseded_by", "Newer version that was refused, 0 without one")
+        )
         self._serving = add(Gauge("serving", "1 while the node serves requests"))
         self._rate_limit = add(
             Gauge("backend_rate_limit_per_s", "Requests a second named by the backend server")
@@ -129,15 +132,17 @@
         """
         self._events.inc({"event": name})
 
-    def set_versions(self, held: int, running: int, serving: bool) -> None:
+    def set_versions(self, held: int, running: int, superseded_by: int, serving: bool) -> None:
         """Set the version gauges.
 
         :param held: newest version held.
         :param running: version that is run.
+        :param superseded_by: newer version that was refused; 0 without one.
         :param serving: whether the node serves.
         """
         self._versions.set({"kind": "held"}, held)
         self._versions.set({"kind": "running"}, running)
+        self._superseded.set({}, superseded_by)
         self._serving.set({}, int(serving))
 
     def set_rate_limit(self, rate_limit_per_s: float | None) -> None:
--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -232,6 +232,10 @@
                     answered_ms, found.epoch, found.revision, found.orders, found.orders_whole
                 )
             )
+        if found.fault:
+            return DocumentRefused(
+                answered_ms, found.fault, revision, found.epoch, age_ms, found.version
+            )
         if found.document is not None:
             return DocumentRead(
                 answered_ms, found.version, found.document, revision, found.epoch, age_ms
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -261,7 +261,10 @@
         """Return the metrics in the Prometheus text format."""
         distribution = self._state.distribution
         self._metrics.set_versions(
-            distribution.held_version, distribution.running_version, distribution.serving
+            distribution.held_version,
+            distribution.running_version,
+            views.superseding_version(distribution),
+            distribution.serving,
         )
         self._metrics.set_members(views.count_members(self._state))
         callers = self._path.ingress.factory.connections
--- a/packages/node/src/bamboonotch_node/runtime/_views.py
+++ b/packages/node/src/bamboonotch_node/runtime/_views.py
@@ -70,6 +70,20 @@
     return dict(lender.granted), dict(quotas.refused), waiting, held
 
 
+@singledispatch
+def superseding_version(distribution: DistributionState | DocumentState) -> int:
+    """Return the newer version that was refused, or 0 if the held one is not known to be old.
+
+    :param distribution: the part that follows versions.
+    """
+    return 0
+
+
+@superseding_version.register
+def _(distribution: DocumentState) -> int:
+    return distribution.refused_version if distribution.is_superseded else 0
+
+
 def describe_status(state: NodeState) -> dict[str, Any]:
     """Return the node's status.
 
@@ -84,6 +98,7 @@
         "data_centre": record.data_centre,
         "held_version": distribution.held_version,
         "running_version": distribution.running_version,
+        "superseded_by": superseding_version(distribution),
         "serving": distribution.serving,
         "reason": distribution.not_serving_reason,
         "service": record.service,
@@ -142,6 +157,7 @@
         "serving": distribution.serving,
         "reason": distribution.not_serving_reason,
         "source": {"kind": distribution.source, "node_id": distribution.source_node_id},
+        "superseded_by": superseding_version(distribution),
         "refused": list(distribution.refused),
         "store_reachable": distribution.store_reachable,
         "neighbour_versions": {
--- a/packages/store/src/bamboonotch_store/shared.py
+++ b/packages/store/src/bamboonotch_store/shared.py
@@ -39,6 +39,7 @@
     :param waited: whether the store says that the whole wait passed without any change.
     :param orders: orders of roll-outs that were read, and withdrawn ones without a version.
     :param orders_whole: whether these are all orders in the store.
+    :param fault: why the document of this version cannot be read; empty if it can.
     """
 
     revision: int
@@ -48,6 +49,7 @@
     waited: bool = False
     orders: tuple[RolloutOrder, ...] = ()
     orders_whole: bool = False
+    fault: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -106,6 +106,7 @@
             store_epoch=message.store_epoch,
             number=message.number,
             echo=message.echo,
+            confirmed_version=message.confirmed_version,
         )
     )
 
@@ -259,6 +260,7 @@
         body.store_epoch,
         body.number,
         body.echo,
+        body.confirmed_version,
     )
 
 
