--- a/packages/core/src/bamboonotch_core/configuration/__init__.py
+++ b/packages/core/src/bamboonotch_core/configuration/__init__.py
@@ -27,11 +27,19 @@
     make_entry,
 )
 from bamboonotch_core.configuration._patch import Patch, apply_patch, parse_patch
-from bamboonotch_core.configuration._validation import parse_configuration
+from bamboonotch_core.configuration._validation import (
+    MAX_BODY_BYTES,
+    MAX_DURATION_MS,
+    MAX_HEADER_BYTES,
+    parse_configuration,
+)
 
 __all__ = [
     "EMPTY_CONFIGURATION",
     "EMPTY_DOCUMENT",
+    "MAX_BODY_BYTES",
+    "MAX_DURATION_MS",
+    "MAX_HEADER_BYTES",
     "CallerLimits",
     "Configuration",
     "Difference",
--- a/packages/core/src/bamboonotch_core/configuration/_document.py
+++ b/packages/core/src/bamboonotch_core/configuration/_document.py
@@ -104,7 +104,7 @@
     """
 
     service: str
-    weight: int
+    weight: float
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/configuration/_validation.py
+++ b/packages/core/src/bamboonotch_core/configuration/_validation.py
@@ -26,29 +26,25 @@
 )
 from bamboonotch_core.errors import ConfigurationError, ConfigurationFault
 
-__all__ = ["parse_configuration"]
+__all__ = ["MAX_BODY_BYTES", "MAX_DURATION_MS", "MAX_HEADER_BYTES", "parse_configuration"]
 
 NAME_PATTERN = re.compile(r"[a-z0-9-]{1,64}\Z")
-PATH_PREFIX_PATTERN = re.compile(r"/[!-~]{0,255}\Z")
+PATH_PREFIX_PATTERN = re.compile(r"/[!-~]*\Z")
 METHODS = frozenset({"DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"})
-MAX_PRIORITY = 15
+# A bound that refuses a version keeps a fleet at the one before it. So each one here protects
+# memory, or is the largest number that every message and timer can hold.
+MAX_INTEGER = 2**63 - 1
 MAX_QUEUE_LIMIT = 100_000
 MAX_SLOTS = 10_000
-MAX_DURATION_MS = 600_000
+MAX_DURATION_MS = 2**31 - 1
 HOST_MESSAGE = "must be a host name of a-z, 0-9, . and -"
 HOST_PATTERN = re.compile(r"[a-z0-9.-]{0,253}\Z")
-MAX_ATTEMPTS = 100
-MAX_WEIGHT = 1_000_000
-MAX_SPLIT_PARTS = 32
-MIN_LIMIT_BYTES = 1024
 MAX_HEADER_BYTES = 1024 * 1024
 MAX_BODY_BYTES = 1024 * 1024 * 1024
 
 _Item = TypeVar("_Item")
 _TOP_LEVEL_FIELDS = ("classes", "services", "routes", "limits", "workspaces")
 _OPTIONAL_SECTIONS = frozenset({"workspaces"})
-MAX_KEYS = 1000
-MAX_RATE_PER_S = 1_000_000
 KEY_DIGEST_PATTERN = re.compile(r"[0-9a-f]{32}\Z")
 
 
@@ -85,13 +81,13 @@
         self._read_fields.add(field)
         return self.integer(field, minimum, maximum) if self.has(field) else 0
 
-    def number(self, field: str, maximum: float) -> float:
-        """Read a number from 0 to ``maximum``; 0 when it is absent."""
+    def number(self, field: str, default: float | None = None) -> float:
+        """Read a number from 0 to ``MAX_INTEGER``."""
         self._read_fields.add(field)
-        value = self._values.get(field, 0)
+        value = self._values.get(field, default)
         valid = isinstance(value, int | float) and not isinstance(value, bool)
-        if not valid or not 0 <= value <= maximum:
-            self._add_fault(field, f"must be a number from 0 to {maximum}")
+        if not valid or not 0 <= value <= MAX_INTEGER:
+            self._add_fault(field, f"must be a number from 0 to {MAX_INTEGER}")
             return 0.0
         return float(value)
 
@@ -99,11 +95,10 @@
         """Read a list of digests of keys; a fault does not repeat the value."""
         self._read_fields.add(field)
         value = self._values.get(field, [])
-        valid = isinstance(value, list) and len(value) <= MAX_KEYS
-        if not valid or not all(
+        if not isinstance(value, list) or not all(
             isinstance(item, str) and KEY_DIGEST_PATTERN.match(item) for item in value
         ):
-            self._add_fault(field, f"must be a list of at most {MAX_KEYS} digests of keys")
+            self._add_fault(field, "must be a list of digests of keys")
             return ()
         return tuple(value)
 
@@ -150,13 +145,13 @@
         """Read the services that a route is split among, with their weights."""
         self._read_fields.add(field)
         value = self._values[field]
-        if not isinstance(value, list) or not 0 < len(value) <= MAX_SPLIT_PARTS:
-            self._add_fault(field, f"must be a list of 1 to {MAX_SPLIT_PARTS} objects")
+        if not isinstance(value, list) or not value:
+            self._add_fault(field, "must be a list of one or more objects")
             return ()
         parts = []
         for index, item in enumerate(value):
             fields = _FieldReader(f"{self._pointer}/{field}/{index}", item, self._faults)
-            name, weight = fields.name("service"), fields.integer("weight", 0, MAX_WEIGHT)
+            name, weight = fields.name("service"), fields.number("weight")
             parts.append(WeightedService(name, weight))
             fields.finish()
         if not any(part.weight for part in parts):
@@ -172,7 +167,7 @@
 def _parse_class(name: str, fields: _FieldReader) -> RequestClass:
     return RequestClass(
         name=name,
-        priority=fields.integer("priority", 0, MAX_PRIORITY),
+        priority=fields.integer("priority", 0, MAX_INTEGER),
         queue_limit=fields.integer("queue_limit", 0, MAX_QUEUE_LIMIT, 64),
         queue_timeout_ms=fields.integer("queue_timeout_ms", 1, MAX_DURATION_MS, 500),
         target_ms=fields.integer("target_ms", 0, MAX_DURATION_MS, 0),
@@ -195,7 +190,7 @@
         path_prefix=fields.text(
             "path_prefix",
             PATH_PREFIX_PATTERN,
-            "must be a path of at most 256 printable ASCII characters that starts with /",
+            "must be a path of printable ASCII characters that starts with /",
         ),
         methods=fields.methods("methods"),
         service="" if is_split else fields.name("service"),
@@ -204,7 +199,7 @@
         idempotent=fields.boolean("idempotent"),
         timeout_ms=fields.integer("timeout_ms", 1, MAX_DURATION_MS),
         host=fields.text("host", HOST_PATTERN, HOST_MESSAGE) if fields.has("host") else "",
-        max_attempts=fields.integer("max_attempts", 0, MAX_ATTEMPTS, 0),
+        max_attempts=fields.integer("max_attempts", 0, MAX_INTEGER, 0),
         anonymous=fields.boolean("anonymous", False),
     )
 
@@ -212,10 +207,10 @@
 def _parse_workspace(name: str, fields: _FieldReader) -> Workspace:
     return Workspace(
         name=name,
-        priority=fields.integer("priority", 0, MAX_PRIORITY, 0),
+        priority=fields.integer("priority", 0, MAX_INTEGER, 0),
         key_digests=fields.key_digests("keys"),
-        rate_per_s=fields.number("rate_per_s", MAX_RATE_PER_S),
-        burst=fields.number("burst", MAX_RATE_PER_S),
+        rate_per_s=fields.number("rate_per_s", 0),
+        burst=fields.number("burst", 0),
     )
 
 
@@ -236,8 +231,8 @@
         return CallerLimits()
     fields = _FieldReader("/limits", document["limits"], faults)
     limits = CallerLimits(
-        max_header_bytes=fields.limit("max_header_bytes", MIN_LIMIT_BYTES, MAX_HEADER_BYTES),
-        max_body_bytes=fields.limit("max_body_bytes", MIN_LIMIT_BYTES, MAX_BODY_BYTES),
+        max_header_bytes=fields.limit("max_header_bytes", 1, MAX_HEADER_BYTES),
+        max_body_bytes=fields.limit("max_body_bytes", 1, MAX_BODY_BYTES),
         header_timeout_ms=fields.limit("header_timeout_ms", 1, MAX_DURATION_MS),
         idle_timeout_ms=fields.limit("idle_timeout_ms", 1, MAX_DURATION_MS),
     )
--- a/packages/core/src/bamboonotch_core/outcomes/_reducer.py
+++ b/packages/core/src/bamboonotch_core/outcomes/_reducer.py
@@ -54,7 +54,7 @@
     RouteMatch,
     RoutingTable,
     Verdict,
-    draw_below,
+    draw_share,
     match_route,
     next_seed,
 )
@@ -199,12 +199,13 @@
     """Draw one of the services of a route in proportion to their weights."""
     if not route.split:
         return route.service
-    position = draw_below(seed, sum(part.weight for part in route.split))
-    for part in route.split:
+    parts = [part for part in route.split if part.weight]
+    position = draw_share(seed) * sum(part.weight for part in parts)
+    for part in parts:
         position -= part.weight
         if position < 0:
             return part.service
-    return route.split[-1].service
+    return parts[-1].service
 
 
 def _timeout_ms(event: RequestArrived, route: Route) -> float:
--- a/packages/core/src/bamboonotch_core/routing/__init__.py
+++ b/packages/core/src/bamboonotch_core/routing/__init__.py
@@ -36,7 +36,7 @@
     record_uplink,
     view_of,
 )
-from bamboonotch_core.routing._random import draw_below, next_seed
+from bamboonotch_core.routing._random import draw_below, draw_share, next_seed
 from bamboonotch_core.routing._table import (
     NOT_SERVING_TABLE,
     NoMatch,
@@ -74,6 +74,7 @@
     "choose_owner",
     "count_ejected",
     "draw_below",
+    "draw_share",
     "explain_route",
     "has_no_room",
     "match_route",
--- a/packages/core/src/bamboonotch_core/routing/_random.py
+++ b/packages/core/src/bamboonotch_core/routing/_random.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["draw_below", "next_seed"]
+__all__ = ["draw_below", "draw_share", "next_seed"]
 
 MASK_64_BITS = (1 << 64) - 1
 MULTIPLIER = 6364136223846793005  # Knuth's MMIX linear congruential generator
@@ -24,3 +24,11 @@
     :param bound: at least 1.
     """
     return ((seed >> 32) * bound) >> 32
+
+
+def draw_share(seed: int) -> float:
+    """Return a pseudo-random number from 0 to 1, without 1, of the same bits.
+
+    :param seed: 64-bit unsigned integer, as returned by :func:`next_seed`.
+    """
+    return (seed >> 32) / 2**32
