Send complete answers before a connection ends within a later one

What callers saw: the complete answer to a request on a kept connection was lost when the answer to the request behind it broke off.

Cause: the connection was aborted in the turn of the reactor in which the complete answer was written. An abort discards what the library holds and resets the connection, which discards what the operating system holds.

Ruled out: that an orderly close is enough. Closing a connection on which bytes of the caller are unread resets it too (test_input_behind_it), so the connection is closed towards the caller only and read until the caller closes it. A reset is needed only for an answer without length and chunks, or of which nothing was written; it now waits until the caller's system has everything before it. Both are given up without progress.

The same cause on related paths: the abort 2 s after a refusal, the end of the process with a request unanswered, and refused connections that were the first to give way for a new one. Requests behind a broken answer are cancelled at once.

--- a/packages/node/src/bamboonotch_node/http_ingress/_channel.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_channel.py
@@ -10,15 +10,13 @@
 from bamboonotch_node.clock import now_ms
 from bamboonotch_node.http_ingress._account import ConnectionAccount
 from bamboonotch_node.http_ingress._answer import encode_answer
+from bamboonotch_node.http_ingress._ending import ConnectionEnd
 from bamboonotch_node.http_ingress._eviction import ConnectionState
 from bamboonotch_node.http_ingress._http_request import CallerHttpRequest
 from bamboonotch_node.http_ingress._unread import UnreadAnswers, unsent_bytes
 
 __all__ = ["CallerChannel"]
 
-# How long a refused caller may go on sending. Closing at once would reset the connection, and the
-# caller would not see the answer.
-LINGER_S = 2.0
 # Requests of one connection that are worked on at once; what follows is read when one is answered.
 MAX_REQUESTS_AT_ONCE = 8
 # Beside the largest legal body: heads of requests that are worked on at once.
@@ -49,10 +47,11 @@
         self._progress_ms = 0.0
         self._is_closing = False
         self._unread_check: asyncio.TimerHandle | None = None
+        self._end: ConnectionEnd
         self._refused = False
+        self._broken_off = False
         self._refusal_due: tuple[int, str] | None = None
         self._continue_due = False
-        self._linger: asyncio.TimerHandle | None = None
         self._head_timer: asyncio.TimerHandle | None = None
         self._is_local = False
 
@@ -65,6 +64,7 @@
         )
         self._progress_ms = now_ms()
         self._answers = UnreadAnswers(self.transport, self._progress_ms)
+        self._end = ConnectionEnd(self.transport, self._answers)
         self._is_local = self.transport.getPeer().host == self.transport.getHost().host
         super().connectionMade()
         self.factory.connections.add(self)
@@ -221,6 +221,8 @@
 
         :param data: bytes from the caller.
         """
+        if self._broken_off:
+            return
         super().dataReceived(data)
         unfinished = self.line_mode and not self._handlingRequest
         unfinished = unfinished and bool(self._receivedHeaderSize or self._buffer)
@@ -245,9 +247,9 @@
         """
         self.factory.connection_closed(self)
         self._stop_head_timer()
-        for timer in (self._linger, self._unread_check):
-            if timer is not None:
-                timer.cancel()
+        self._end.stop()
+        if self._unread_check is not None:
+            self._unread_check.cancel()
         super().connectionLost(reason)
         # These lead back to the connection.
         self.requests = []
@@ -321,8 +323,11 @@
         in_work = any(request.is_handed_on for request in self.requests)
         if self._is_closing:
             return ConnectionState.CLOSING
-        if self._refused and not in_work:
-            return ConnectionState.REFUSED
+        if self._refused and (self._broken_off or not in_work):
+            if not self._answers.waiting_bytes():
+                return ConnectionState.REFUSED
+            # Closing would discard the answers that are on their way.
+            in_work = True
         if unsent_bytes(self.transport):
             stalled_ms = now_ms - self._answers.drained_ms
             is_stalled = stalled_ms >= self.factory.ingress.settings.stalled_after_ms
@@ -406,11 +411,27 @@
         self._refusal_due = None
         self.factory.ingress.input_refused(status, reason)
         self.setTimeout(None)
-        self._linger = asyncio.get_running_loop().call_later(
-            LINGER_S, self.transport.abortConnection
-        )
         self.write(encode_answer(status, reason))
-        self.transport.loseWriteConnection()
+        self._end.close()
+
+    def break_off(self, is_delimited: bool) -> None:
+        """Close the connection within a response, and lose nothing of the ones before it.
+
+        :param is_delimited: whether the caller can see from what was written that the response is
+            not whole. Otherwise an orderly end could be taken for the end of the body.
+        """
+        if not self._broken_off:
+            self._broken_off = self._refused = True
+            self._refusal_due = None
+            self._stop_head_timer()
+            self.setTimeout(None)
+            for request in self.requests[1:]:
+                request.abandon()
+            self._discard_input()
+        if is_delimited:
+            self._end.close()
+        else:
+            self._end.reset()
 
     def _send100Continue(self) -> None:  # noqa: N802
         if self._refused:
--- a/packages/node/src/bamboonotch_node/http_ingress/_http_request.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_http_request.py
@@ -140,6 +140,13 @@
             self._refused = True
             self.release_body()
 
+    def abandon(self) -> None:
+        """End a request that can never be answered on its connection."""
+        self.give_way()
+        if self.is_handed_on:
+            self.release_body()
+            self.ingress.caller_gone(self)
+
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
         """Hand the whole request on.
 
--- a/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
@@ -137,10 +137,13 @@
         return pending.request
 
     async def close(self) -> None:
-        """Close all connections: those with a request at once, others when all is sent."""
+        """Close all connections when what was written has reached the callers.
+
+        Those with a request are reset then, because an orderly end could be taken for its answer.
+        """
         for channel in list(self.factory.connections):
             if channel.requests:
-                channel.transport.abortConnection()
+                channel.break_off(is_delimited=False)
             else:
                 channel.loseConnection()
         with contextlib.suppress(TimeoutError):
--- a/packages/node/src/bamboonotch_node/http_ingress/_response.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_response.py
@@ -95,12 +95,18 @@
             complete = False
         self._http.unregisterProducer()
         if not complete:
-            # Any orderly end could be taken for the end of the body.
-            self._http.turn.break_off()
+            self._http.turn.break_off(self._is_delimited())
         self._ended(complete, self._written_bytes)
         if complete:
             self._http.finish()
 
+    def _is_delimited(self) -> bool:
+        """Tell whether the caller can see from a length or from chunks that a part is missing."""
+        if not self._http.startedWriting:
+            return False
+        too_short = self._declared_bytes is not None and self._written_bytes < self._declared_bytes
+        return too_short or bool(self._http.chunked)
+
     def close(self) -> None:
         """Write nothing more, because the caller is gone."""
         self._over = True
--- a/packages/node/src/bamboonotch_node/http_ingress/_turn.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_turn.py
@@ -81,9 +81,12 @@
         """End a response."""
         self._write(lambda: self._channel.requestDone(request), 0)
 
-    def break_off(self) -> None:
-        """Close the connection without an orderly end, after the responses before this one."""
-        self._write(lambda: self._channel.transport.abortConnection(), 0)
+    def break_off(self, is_delimited: bool) -> None:
+        """Close the connection within this response, after the responses before it.
+
+        :param is_delimited: whether what was written says that the response is not whole.
+        """
+        self._write(lambda: self._channel.break_off(is_delimited), 0)
 
     def _write(self, write: Callable[[], None], size_bytes: int) -> None:
         if self._held is None:
--- a/packages/node/src/bamboonotch_node/http_ingress/_unread.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_unread.py
@@ -57,6 +57,10 @@
         """Note that an answer is complete."""
         self._ends.append(self._written_bytes)
 
+    def waiting_bytes(self) -> int:
+        """Return the size of what was written and the caller's system has not received."""
+        return unsent_bytes(self._transport) + _unacknowledged_bytes(self._transport)
+
     def reaches(self, count: int) -> bool:
         """Tell whether this many answers are not received yet.
 
@@ -64,9 +68,7 @@
         """
         if len(self._ends) < count:
             return False
-        transport = self._transport
-        waiting_bytes = unsent_bytes(transport) + _unacknowledged_bytes(transport)
-        received_bytes = self._written_bytes - waiting_bytes
+        received_bytes = self._written_bytes - self.waiting_bytes()
         while self._ends and self._ends[0] <= received_bytes:
             self._ends.popleft()
         return len(self._ends) >= count
