Write an acknowledged departure until the store has it

The store had refused calls for 1.5 s; a second after it was back, the node was restarted.

Cause: the departure was written once, and after a failure not before the next renewal of the lease, up to 10 s later. A departure that came during the first write of the entry, or met a lapsed lease, was not written sooner either.

Ruled out: a lease of an earlier epoch (the answer's epoch wakes the registration), and refusing the acknowledgement (the server leaves without one, and is in use until then).

Now one writer repeats the write while departures are not in the store, every 0.1 to 0.5 s while calls fail, and has the node register anew where the lease has ended.

--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -45,6 +45,8 @@
 # would otherwise return to the store at once.
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 1.0
+# The same for a departure, which ends with the process until the store has it.
+MAX_DEPARTURE_RETRY_S = 0.5
 # Time over which the nodes of a fleet register again when the store was restored from a copy.
 REGISTER_AGAIN_S = 1.0
 # A backend server waits for an acknowledgement for a second, and leaves without one some seconds
@@ -178,6 +180,7 @@
         self._epoch_seen = epoch_seen
         self._epoch = 0
         self._timer: Any = None
+        self._writer: Deferred[None] | None = None
         # Of the entry as this process knows it: 0 while it knows of none.
         self._revision = 0
         self._writing = DeferredLock()
@@ -198,9 +201,7 @@
         """
         self._departures = with_departure(self._departures, announcement)
         self._is_entry_current = False
-        if self._lease is not None and self._is_current(self._lease):
-            writing = Deferred.fromCoroutine(self._write_entry(self._lease))
-            writing.addErrback(self._write_failed)
+        self._write_soon()
 
     def departures_kept(self) -> Deferred[None]:
         """Wait until the store has the departures heard so far, for ``KEEP_LIMIT_S`` at most."""
@@ -230,9 +231,10 @@
 
     async def stop(self) -> None:
         """Give the entry up, unless the next process needs it; it then ends with its lease."""
-        if self._loop is not None:
-            self._loop.cancel()
-            self._loop = None
+        for task in (self._loop, self._writer):
+            if task is not None:
+                task.cancel()
+        self._loop = self._writer = None
         lease, self._lease = self._lease, None
         # The id of a lease of an earlier epoch may belong to another node now.
         if lease is not None and not self._departures and self._is_current(lease):
@@ -258,7 +260,7 @@
                 continue
             except StoreError as error:
                 wait_s = self._note_failure(error)
-            await self._sleep(wait_s)
+            await self._sleep(wait_s, may_wake=True)
 
     async def _renew(self) -> float:
         """Register or renew, and return the wait until the next renewal, in seconds.
@@ -270,13 +272,14 @@
             self._take_epoch(lease.epoch)
             await self._write_entry(lease)
             self._lease = lease
+            # A departure that came during the write found no lease.
+            self._write_soon()
             fields = (("lifetime_ms", lease.lifetime_ms), ("epoch", lease.epoch))
             self._report(Report("registered", fields))
         else:
             self._check_epoch(self._lease, self._lease.epoch)
             self._check_epoch(self._lease, await self._store.renew_lease(self._lease))
-            if not self._is_entry_current:
-                await self._write_entry(self._lease)
+            self._write_soon()
         return self._lease.lifetime_ms / 1000 / RENEWALS_PER_LEASE
 
     def _take_epoch(self, epoch: int) -> None:
@@ -330,9 +333,37 @@
         if self._is_entry_current:
             self._note_kept()
 
-    def _write_failed(self, failure: Any) -> None:
-        # The next renewal writes the entry again.
-        self._report(Report("departure-not-kept", (("reason", str(failure.value)),)))
+    def _write_soon(self) -> None:
+        """Write the entry until the store has it, unless that is under way."""
+        if self._writer is None and not self._is_entry_current and self._current_lease():
+            writer = self._writer = Deferred.fromCoroutine(self._write_until_kept())
+            writer.addErrback(self._stopped)
+            if writer.called:
+                self._writer = None
+
+    def _current_lease(self) -> Lease | None:
+        lease = self._lease
+        return lease if lease is not None and self._is_current(lease) else None
+
+    async def _write_until_kept(self) -> None:
+        failures = 0
+        try:
+            while not self._is_entry_current and (lease := self._current_lease()) is not None:
+                try:
+                    await self._write_entry(lease)
+                    failures = 0
+                except (LeaseEndedError, StoreRestoredError):
+                    # The node has to register again first, which writes the entry.
+                    self._wake()
+                    return
+                except StoreError as error:
+                    if not failures:
+                        fields = (("reason", str(error)),)
+                        self._report(Report("departure-not-kept", fields))
+                    await self._sleep(self._retry_wait_s(failures, MAX_DEPARTURE_RETRY_S))
+                    failures += 1
+        finally:
+            self._writer = None
 
     def _note_restore(self) -> float:
         """Return the wait before the node registers again, in seconds.
@@ -347,9 +378,12 @@
     def _note_failure(self, error: StoreError) -> float:
         if not self._failures:
             self._report(Report("registration-delayed", (("reason", str(error)),)))
-        wait_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2**self._failures)
-        self._failures = min(self._failures + 1, 8)
-        half_s: float = wait_s / 2
+        wait_s = self._retry_wait_s(self._failures, MAX_RETRY_S)
+        self._failures += 1
+        return wait_s
+
+    def _retry_wait_s(self, failures: int, longest_s: float) -> float:
+        half_s: float = min(longest_s, FIRST_RETRY_S * 2 ** min(failures, 8)) / 2
         return half_s + self._random.random() * half_s
 
     def _key(self) -> str:
@@ -370,7 +404,7 @@
         if self._timer is not None and self._timer.active():
             self._timer.reset(0)
 
-    def _sleep(self, wait_s: float) -> Deferred[None]:
+    def _sleep(self, wait_s: float, may_wake: bool = False) -> Deferred[None]:
         timer: Any = None
 
         def cancel(_: Deferred[None]) -> None:
@@ -378,5 +412,7 @@
                 timer.cancel()
 
         done: Deferred[None] = Deferred(cancel)
-        self._timer = timer = self._reactor.callLater(wait_s, done.callback, None)
+        timer = self._reactor.callLater(wait_s, done.callback, None)
+        if may_wake:
+            self._timer = timer
         return done
