Let neighbours keep acknowledged departures for the next process

What callers saw: a departure that was acknowledged while the store was away ended with the process of its node; a late heartbeat then put the backend server into use again.

Cause: until the store has a departure, only the process that acknowledged it knows of it, and nothing else on the machine outlives that process.

Ruled out: a faster retry (the store may be away for longer than the process lives), the member records (they do not name the process of the backend server), and a new process that waits for its entry (a restarted node would stay out of use).

A node tells its departures to its overlay neighbours before they are acknowledged.

--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -5,6 +5,13 @@
 from collections.abc import Callable
 from functools import singledispatch
 
+from bamboonotch_core._departures_part import (
+    check_departures,
+    keep_for_peer,
+    limit_hearing,
+    return_to_peer,
+    share_departures,
+)
 from bamboonotch_core._membership_view import refresh_view
 from bamboonotch_core._quota_part import answer_own_asks
 from bamboonotch_core._quota_reducer import (
@@ -47,6 +54,7 @@
     with_departure,
     with_known_departure,
 )
+from bamboonotch_core.departure_messages import Departures
 from bamboonotch_core.effects import (
     CompeteForSlot,
     Effect,
@@ -61,6 +69,8 @@
     DepartureRecalled,
     DrainRequested,
     Event,
+    LinkOpened,
+    MessageReceived,
     ShutdownRequested,
     Tick,
     UndrainRequested,
@@ -242,9 +252,55 @@
     """Remember a departure here and, when it is new, for the next process of this node."""
     if event.state not in LEAVING_STATES or not event.instance_id:
         return Transition(state)
-    effects = (KeepDeparture(event),) if is_new_departure(state.departures, event) else ()
+    is_new = is_new_departure(state.departures, event)
     departures = with_departure(state.departures, event)
-    return Transition(replace_fields(state, departures=departures), effects)
+    state = replace_fields(state, departures=departures)
+    if not is_new:
+        return Transition(state)
+    return Transition(
+        state, (KeepDeparture(event), *share_departures(state.membership, departures))
+    )
+
+
+@_reduce_event.register
+def _(event: LinkOpened, state: NodeState) -> NodeTransition:
+    transition = _reduce_control(event, state)
+    state = transition.state
+    told = return_to_peer(
+        state.membership, state.departures, state.peer_departures, event.link_id, event.now_ms
+    )
+    return Transition(state, transition.effects + told)
+
+
+@_reduce_event.register
+def _(event: MessageReceived, state: NodeState) -> NodeTransition:
+    transition = _reduce_control(event, state)
+    if not isinstance(event.message, Departures):
+        return transition
+    after = _take_departures(event.message, event, transition.state)
+    return Transition(after.state, transition.effects + after.effects)
+
+
+def _take_departures(
+    message: Departures, event: MessageReceived, state: NodeState
+) -> NodeTransition:
+    """Keep the departures of a neighbour, or take over those of an earlier process of this node."""
+    sender, refusal = check_departures(state.membership, message, event.link_id)
+    if refusal is not None or not sender:
+        return Transition(state, () if refusal is None else (refusal,))
+    if message.node_id == sender:
+        kept = keep_for_peer(state.peer_departures, message, event.now_ms)
+        return Transition(replace_fields(state, peer_departures=kept))
+    effects: list[Effect] = []
+    for item in message.departures:
+        departure = limit_hearing(item, own_record(state.membership).incarnation)
+        if not is_new_departure(state.departures, departure):
+            continue
+        recalled = _reduce_event(DepartureRecalled(event.now_ms, departure), state)
+        state = recalled.state
+        shared = share_departures(state.membership, state.departures)
+        effects += (*recalled.effects, KeepDeparture(departure), *shared)
+    return Transition(state, tuple(effects))
 
 
 @_reduce_event.register
--- a/packages/core/src/bamboonotch_core/state.py
+++ b/packages/core/src/bamboonotch_core/state.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+from immutables import Map
+
+from bamboonotch_core._departures_part import PeerDepartures
 from bamboonotch_core._quota_part import QuotaPart
 from bamboonotch_core.admission import AdmissionState, make_admission_state
 from bamboonotch_core.distribution import (
@@ -56,6 +59,7 @@
     :param announcement: latest announcement of the backend server, or ``None``.
     :param departures: what processes beside this node said last when they left, one for each
         process id, the latest one last.
+    :param peer_departures: the same of each neighbour, by node id.
     :param shutdown_deadline_ms: when the process ends at the latest, or ``None`` while it is not
         shutting down.
     :param shutdown_drain_ms: when a process that shuts down stops taking work for its backend
@@ -78,6 +82,7 @@
     slots_linked: bool = False
     announcement: BackendServerAnnounced | None = None
     departures: tuple[BackendServerAnnounced, ...] = ()
+    peer_departures: Map[str, PeerDepartures] = Map()
     shutdown_deadline_ms: float | None = None
     shutdown_drain_ms: float | None = None
     shutdown_idle_after_ms: float = 0.0
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -6,6 +6,7 @@
 from functools import singledispatch
 from typing import Any
 
+from bamboonotch_core.departure_messages import Departures
 from bamboonotch_core.errors import MessageError
 from bamboonotch_core.member_record import MemberRecord, MemberState
 from bamboonotch_core.messages import (
@@ -28,6 +29,7 @@
 )
 from bamboonotch_core.rollout_messages import RolloutCounts, RolloutPlan
 from bamboonotch_wire import bamboonotch_pb2 as pb
+from bamboonotch_wire._departures import decode_departures, encode_departures
 from bamboonotch_wire._rollouts import decode_counts, decode_plan, encode_counts, encode_plan
 
 __all__ = [
@@ -245,6 +247,7 @@
     return pb.ControlFrame(witness_reply=reply)
 
 
+encode_message.register(Departures, encode_departures)
 encode_message.register(RolloutPlan, encode_plan)
 encode_message.register(RolloutCounts, encode_counts)
 
@@ -410,6 +413,7 @@
     "witness_ack": _decode_witness_ack,
     "witness_query": _decode_witness_query,
     "witness_reply": _decode_witness_reply,
+    "departures": decode_departures,
     "rollout_plan": decode_plan,
     "rollout_counts": decode_counts,
 }
--- a/packages/wire/tests/test_control.py
+++ b/packages/wire/tests/test_control.py
@@ -4,7 +4,9 @@
 
 import unittest
 
+from bamboonotch_core.departure_messages import Departures
 from bamboonotch_core.errors import MessageError
+from bamboonotch_core.events import BackendServerAnnounced
 from bamboonotch_core.member_record import MemberRecord, MemberState
 from bamboonotch_core.messages import (
     Heartbeat,
@@ -62,6 +64,17 @@
     Heartbeat(5, 4, 2**64 - 1, True),
     Heartbeat(5, 4, 2**64 - 1, True, 2**63, 1200, 2**63),
     Heartbeat(5, 4, 0, True, 7, 1200, 1, number=2**63, echo=2**62),
+    Heartbeat(5, 4, 0, True, 7, 1200, 1, number=2, echo=1, confirmed_version=2**63),
+    Departures(
+        "menu-1",
+        (
+            BackendServerAnnounced(
+                0.0, "menu", "10.0.0.1:80", 6, "draining", "i-1", 10**12, 0, 0.0, 10**12, True
+            ),
+            BackendServerAnnounced(0.0, "", "", 0, "stopped", "i-2", heard_unix_ms=10**12),
+        ),
+    ),
+    Departures("menu-1", ()),
     VersionPush(5, b"entry"),
     VersionAnnounce(5),
     RolloutPlan(RolloutOrder("orders", "", 0, 107, 3)),
