Name the peer of a refused version, and the state of a refused departure

Both log lines left out what an operator looks for: version-superseded named no peer for a version that a peer had sent, and departure-refused did not name the process. Seen on reading the change; test_refused_versions.py and test_peer_departures.py pass.

--- a/packages/core/src/bamboonotch_core/_departures_part.py
+++ b/packages/core/src/bamboonotch_core/_departures_part.py
@@ -114,7 +114,7 @@
     for departure in message.departures:
         fault = find_announcement_fault(departure)
         if departure.state not in LEAVING_STATES or not departure.instance_id:
-            fault = f"state {departure.state!r:.18} of a process is none of leaving"
+            fault = f"departure of {departure.instance_id!r:.130} has state {departure.state!r:.18}"
         reason = reason or fault
     if not sender or not reason:
         return sender, None
--- a/packages/core/src/bamboonotch_core/documents/_step.py
+++ b/packages/core/src/bamboonotch_core/documents/_step.py
@@ -78,7 +78,7 @@
 
         :param node_id: the peer that sent it, or empty for the store.
         """
-        self.note_refused(version, "")
+        self.note_refused(version, node_id)
         if version in self.state.refused:
             return
         self.update(refused=(*self.state.refused, version)[-MAX_REFUSED_VERSIONS:])
