Read on a connection that ends, although its caller did not read before

A connection that was broken off while its caller did not read stayed paused, so that the caller's close was noticed only 2 s later. Seen on reading the change; nothing was lost. test_broken_answers.py and test_pipelining.py pass.

--- a/packages/node/src/bamboonotch_node/http_ingress/_channel.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_channel.py
@@ -427,6 +427,8 @@
             self.setTimeout(None)
             for request in self.requests[1:]:
                 request.abandon()
+            # Input is dropped from here on, whether or not the caller reads.
+            self.write_paused = False
             self._discard_input()
         if is_delimited:
             self._end.close()
