Reset the connection of a broken answer unless that may cost another

Now the close is orderly only where a reset may take another answer along: when the caller had sent the request before it received the answers before it. Everything else is reset as it was before, once the caller's system has received what was written.

Ruled out: a reset in every case after the answers are received. A caller that has taken them from its system and not used them yet drops them on a reset; asyncio's streams do.

--- a/packages/node/src/bamboonotch_node/http_ingress/_channel.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_channel.py
@@ -94,6 +94,11 @@
         super().writeHeaders(*head)
         self._answers.note_written(unsent_bytes(self.transport) - before_bytes)
 
+    @property
+    def has_unread_answers(self) -> bool:
+        """Whether the caller has not received every answer that was written."""
+        return self._answers.reaches(1)
+
     def _note_sent(self, size_bytes: int) -> None:
         self._answers.note_written(size_bytes)
         if not self._is_local:
@@ -414,11 +419,11 @@
         self.write(encode_answer(status, reason))
         self._end.close()
 
-    def break_off(self, is_delimited: bool) -> None:
-        """Close the connection within a response, and lose nothing of the ones before it.
+    def break_off(self, in_order: bool) -> None:
+        """End the connection within a response, and lose nothing of the ones before it.
 
-        :param is_delimited: whether the caller can see from what was written that the response is
-            not whole. Otherwise an orderly end could be taken for the end of the body.
+        :param in_order: whether to close it in order, because the caller can see from what was
+            written that the response is not whole, instead of resetting it.
         """
         if not self._broken_off:
             self._broken_off = self._refused = True
@@ -430,7 +435,7 @@
             # Input is dropped from here on, whether or not the caller reads.
             self.write_paused = False
             self._discard_input()
-        if is_delimited:
+        if in_order:
             self._end.close()
         else:
             self._end.reset()
--- a/packages/node/src/bamboonotch_node/http_ingress/_http_request.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_http_request.py
@@ -58,6 +58,10 @@
 
     factory: Any
 
+    @property
+    def has_unread_answers(self) -> bool:
+        """Whether the caller has not received every answer that was written."""
+
     @property
     def requests(self) -> Sequence[Any]:
         """The requests that were read and not answered, the oldest first."""
@@ -77,6 +81,8 @@
         turn = ResponseTurn(channel, is_first=not channel.requests)
         super().__init__(turn, parsePOSTFormSubmission=False)
         self.turn = turn
+        # Whether the caller sent the request without waiting for the answers before it.
+        self.sent_ahead = bool(channel.requests) or channel.has_unread_answers
         self.ingress: RequestTaker = channel.factory.ingress
         self.request_id = ""
         self.keeps_open = True
--- a/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_ingress.py
@@ -143,7 +143,7 @@
         """
         for channel in list(self.factory.connections):
             if channel.requests:
-                channel.break_off(is_delimited=False)
+                channel.break_off(in_order=False)
             else:
                 channel.loseConnection()
         with contextlib.suppress(TimeoutError):
--- a/packages/node/src/bamboonotch_node/http_ingress/_response.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_response.py
@@ -95,7 +95,9 @@
             complete = False
         self._http.unregisterProducer()
         if not complete:
-            self._http.turn.break_off(self._is_delimited())
+            # A reset also reaches callers that do not count bytes. But it may take answers along
+            # that the caller has not read, if it sends requests without waiting for them.
+            self._http.turn.break_off(in_order=self._http.sent_ahead and self._is_delimited())
         self._ended(complete, self._written_bytes)
         if complete:
             self._http.finish()
--- a/packages/node/src/bamboonotch_node/http_ingress/_turn.py
+++ b/packages/node/src/bamboonotch_node/http_ingress/_turn.py
@@ -81,12 +81,12 @@
         """End a response."""
         self._write(lambda: self._channel.requestDone(request), 0)
 
-    def break_off(self, is_delimited: bool) -> None:
-        """Close the connection within this response, after the responses before it.
+    def break_off(self, in_order: bool) -> None:
+        """End the connection within this response, after the responses before it.
 
-        :param is_delimited: whether what was written says that the response is not whole.
+        :param in_order: whether to close it in order instead of resetting it.
         """
-        self._write(lambda: self._channel.break_off(is_delimited), 0)
+        self._write(lambda: self._channel.break_off(in_order), 0)
 
     def _write(self, write: Callable[[], None], size_bytes: int) -> None:
         if self._held is None:
