Apply a recalled departure of a response whatever heartbeats came first

Cause: a backend server that says in a response that it leaves goes on announcing that it is ready. A heartbeat that was heard before the departure was recalled has a higher sequence number, so the departure was remembered and not applied; the server stayed ready until its refused heartbeats had been missing for 1.5 s.

Ruled out: that the departure was not kept (the entry in the store had it).

Evidence: test_later_heartbeat_comes_before_the_recall failed before and passes now.

--- a/packages/core/src/bamboonotch_core/announcements.py
+++ b/packages/core/src/bamboonotch_core/announcements.py
@@ -22,6 +22,7 @@
     "is_new_departure",
     "is_outdated",
     "make_departure",
+    "says_leaving",
     "started_after",
     "with_departure",
     "with_known_departure",
@@ -120,6 +121,21 @@
     return 0 < departure.heard_unix_ms < event.started_unix_ms
 
 
+def says_leaving(departure: BackendServerAnnounced, latest: BackendServerAnnounced) -> bool:
+    """Tell whether a response of the process in use said that it leaves.
+
+    Such a process may go on announcing that it is ready, with higher sequence numbers.
+
+    :param departure: the departure that is remembered.
+    :param latest: the latest announcement taken.
+    """
+    if not departure.leaving or latest.leaving or latest.state == STOPPED:
+        return False
+    if departure.instance_id != latest.instance_id:
+        return False
+    return departure.started_unix_ms in (0, latest.started_unix_ms)
+
+
 def is_new_departure(
     departures: tuple[BackendServerAnnounced, ...], event: BackendServerAnnounced
 ) -> bool:
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -50,6 +50,7 @@
     is_new_departure,
     is_outdated,
     make_departure,
+    says_leaving,
     started_after,
     with_departure,
     with_known_departure,
@@ -356,7 +357,9 @@
         if latest.instance_id != recalled.instance_id or started_after(recalled, latest):
             return Transition(state)
         recalled = complete_departure(latest, recalled)
-    if is_outdated(latest, recalled):
+    if latest is not None and says_leaving(recalled, latest):
+        recalled = make_departure(latest, event.now_ms)
+    elif is_outdated(latest, recalled):
         return Transition(state)
     fields = (("instance_id", recalled.instance_id), ("state", recalled.state))
     transition = _reduce_all(recalled, replace_fields(state, announcement=recalled))
--- a/packages/core/tests/test_announcements.py
+++ b/packages/core/tests/test_announcements.py
@@ -303,6 +303,21 @@
         self._recall(_announce("a", "draining", 6))
         self.assertEqual(self._state(), "a draining")
 
+    def test_later_heartbeat_comes_before_the_recall(self) -> None:
+        """Guards against a departure in a response that a later heartbeat outdates for good.
+
+        Such a server goes on saying that it is ready.
+        """
+        self._reduce(_announce("a", "ready", 9))
+        effects = self._reduce(
+            DepartureRecalled(2.0, replace(_announce("a", "draining", 6), leaving=True))
+        )
+        self.assertEqual(self._state(), "a draining")
+        names = [item.name for item in effects if isinstance(item, Report)]
+        self.assertIn("departure-recalled", names)
+        self._reduce(_announce("a", "ready", 10))
+        self.assertEqual(self._state(), "a draining")
+
     def test_later_process_is_used(self) -> None:
         """Guards against a new server that gets no work because its predecessor left."""
         self._recall(_announce("a", "stopped", None))
