--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+exec python3 -B play.py
