Set announcements of other services aside

Cause: a node keeps one announcement for everybody who writes to it. Whatever could be decoded replaced it, and its start time then outdated the heartbeats of the VM's own backend server. The settings name the service of the VM, but only the origin of requests read it.

An announcement of another service than that of the settings is set aside now: not used, outdating nothing, leaving no departure. Without a service in the settings, one that the running configuration names goes before one that it does not name. A server in use stays in use when settings or configuration change. Recalled departures of other services are refused. The first announcement of each such process is reported, all are counted.

Ruled out: the order of start times among processes of one service, which is right and which late heartbeats need; a fault of nodes that have just started only.

--- a/packages/core/src/bamboonotch_core/effects.py
+++ b/packages/core/src/bamboonotch_core/effects.py
@@ -10,6 +10,7 @@
 __all__ = [
     "CloseLink",
     "CompeteForSlot",
+    "CountEvent",
     "Effect",
     "KeepDeparture",
     "OpenLink",
@@ -129,6 +130,16 @@
     """
 
 
+@dataclass(frozen=True)
+class CountEvent(Effect):
+    """Count an event that was reported before, without another line in the log.
+
+    :param name: name of the report.
+    """
+
+    name: str
+
+
 @dataclass(frozen=True)
 class KeepDeparture(Effect):
     """Keep what a leaving backend server has said beyond the life of this process.
--- a/packages/core/src/bamboonotch_core/events.py
+++ b/packages/core/src/bamboonotch_core/events.py
@@ -9,6 +9,7 @@
 
 from bamboonotch_core.configuration import Document
 from bamboonotch_core.messages import Message
+from bamboonotch_core.settings import IdentitySettings
 
 __all__ = [
     "BackendServerAnnounced",
@@ -19,6 +20,7 @@
     "DocumentUnchanged",
     "DrainRequested",
     "Event",
+    "IdentityChanged",
     "LinkClosed",
     "LinkFailed",
     "LinkOpened",
@@ -338,6 +340,16 @@
     announcement: BackendServerAnnounced
 
 
+@dataclass(frozen=True)
+class IdentityChanged(Event):
+    """The settings of this node were read again.
+
+    :param identity: section ``[node]`` of the settings.
+    """
+
+    identity: IdentitySettings
+
+
 @dataclass(frozen=True)
 class DrainRequested(Event):
     """An operator asked this node to take no new work for its backend server."""
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -5,6 +5,11 @@
 from collections.abc import Callable
 from functools import singledispatch
 
+from bamboonotch_core._announcement_service import (
+    find_service_fault,
+    find_service_misfit,
+    outranks,
+)
 from bamboonotch_core._departures_part import (
     check_departures,
     keep_for_peer,
@@ -58,6 +63,7 @@
 from bamboonotch_core.departure_messages import Departures
 from bamboonotch_core.effects import (
     CompeteForSlot,
+    CountEvent,
     Effect,
     KeepDeparture,
     Report,
@@ -70,6 +76,7 @@
     DepartureRecalled,
     DrainRequested,
     Event,
+    IdentityChanged,
     LinkOpened,
     MessageReceived,
     ShutdownRequested,
@@ -111,6 +118,9 @@
 
 # Time for the stopped record to leave this process.
 STOP_DELAY_MS = 300
+SET_ASIDE = "announcement-set-aside"
+# Other writers that are told apart in reports.
+MAX_SET_ASIDE = 16
 
 NodeTransition = Transition[NodeState]
 
@@ -227,6 +237,12 @@
     if fault:
         return Transition(state, (Report("announcement-refused", (("reason", fault),)),))
     latest = state.announcement
+    basis = (state.identity.service, state.distribution.running_configuration)
+    misfit = find_service_misfit(event, latest, *basis)
+    if misfit:
+        return _set_aside(event, misfit, state)
+    if outranks(event, latest, *basis):
+        latest = None
     event = with_known_departure(latest, complete_departure(latest, event))
     if is_departure_of_another(latest, event):
         remembered = _remember_departure(event, state)
@@ -242,6 +258,27 @@
     return _take_announcement(event, state)
 
 
+def _set_aside(event: BackendServerAnnounced, reason: str, state: NodeState) -> NodeTransition:
+    """Count an announcement of another writer, and report the first one of each process."""
+    writer = (event.instance_id, event.service)
+    if writer in state.set_aside:
+        return Transition(state, (CountEvent(SET_ASIDE),))
+    known = (*state.set_aside, writer)[-MAX_SET_ASIDE:]
+    fields = (
+        ("instance_id", event.instance_id),
+        ("started_unix_ms", event.started_unix_ms),
+        ("state", event.state),
+        ("reason", reason),
+    )
+    return Transition(replace_fields(state, set_aside=known), (Report(SET_ASIDE, fields),))
+
+
+@_reduce_event.register
+def _(event: IdentityChanged, state: NodeState) -> NodeTransition:
+    """Take over which service belongs on this VM; the server in use stays until it ends."""
+    return Transition(replace_fields(state, identity=event.identity))
+
+
 def _take_announcement(event: BackendServerAnnounced, state: NodeState) -> NodeTransition:
     """Apply an announcement, and remember a departure."""
     remembered = _remember_departure(event, state)
@@ -297,6 +334,8 @@
         departure = limit_hearing(item, own_record(state.membership).incarnation)
         if not is_new_departure(state.departures, departure):
             continue
+        if find_service_fault(departure, state.identity.service):
+            continue
         recalled = _reduce_event(DepartureRecalled(event.now_ms, departure), state)
         state = recalled.state
         shared = share_departures(state.membership, state.departures)
@@ -347,7 +386,9 @@
 def _(event: DepartureRecalled, state: NodeState) -> NodeTransition:
     """Take over what an earlier process had acknowledged, unless a later server is there."""
     recalled = replace_fields(event.announcement, now_ms=event.now_ms)
-    fault = find_announcement_fault(recalled)
+    fault = find_announcement_fault(recalled) or find_service_fault(
+        recalled, state.identity.service
+    )
     if fault:
         return Transition(state, (Report("departure-refused", (("reason", fault),)),))
     latest = state.announcement
--- a/packages/core/src/bamboonotch_core/settings.py
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -53,7 +53,7 @@
     :param peer_listen_address: ``ip:port`` to bind for streams, when it differs from the address
         that others dial; empty for the same.
     :param service: service of the backend server that belongs on this VM, if it is known before
-        that server announces itself.
+        that server announces itself; announcements of other services are then set aside.
     :param ready_address: ``ip:port`` for readiness checks, where the installation has them.
     :param announcement_address: ``ip:port`` for announcements of the backend server, where they do
         not come to the admin address.
--- a/packages/core/src/bamboonotch_core/state.py
+++ b/packages/core/src/bamboonotch_core/state.py
@@ -20,7 +20,7 @@
 from bamboonotch_core.outcomes import OutcomeState, make_outcome_state
 from bamboonotch_core.rollouts import RolloutsState
 from bamboonotch_core.routing import NOT_SERVING_TABLE, RoutingTable
-from bamboonotch_core.settings import NodeSettings
+from bamboonotch_core.settings import IdentitySettings, NodeSettings
 
 __all__ = ["NodeState", "TableBasis", "make_node_state"]
 
@@ -48,6 +48,7 @@
     :param view: what distribution sees of the membership.
     :param table: effective routing table, computed from membership and distribution when it is
         used.
+    :param identity: section ``[node]`` of the settings in force.
     :param table_basis: what the table was computed from.
     :param outcomes: requests that entered at this node.
     :param admission: work for the backend server beside this node.
@@ -57,6 +58,8 @@
     :param slots_linked: whether this node had a link then.
     :param rollouts: roll-outs of services to versions.
     :param announcement: latest announcement of the backend server, or ``None``.
+    :param set_aside: process ids and services of announcements that do not fit this node and were
+        reported, the latest one last.
     :param departures: what processes beside this node said last when they left, one for each
         process id, the latest one last.
     :param peer_departures: the same of each neighbour, by node id.
@@ -75,12 +78,14 @@
     outcomes: OutcomeState
     admission: AdmissionState
     rollouts: RolloutsState
+    identity: IdentitySettings
     table_basis: TableBasis = TableBasis()
     quota: QuotaPart = QuotaPart()
     competing: bool = True
     slots_directory: Directory | None = None
     slots_linked: bool = False
     announcement: BackendServerAnnounced | None = None
+    set_aside: tuple[tuple[str, str], ...] = ()
     departures: tuple[BackendServerAnnounced, ...] = ()
     peer_departures: Map[str, PeerDepartures] = Map()
     shutdown_deadline_ms: float | None = None
@@ -115,4 +120,5 @@
         outcomes=make_outcome_state(settings, seed),
         admission=make_admission_state(settings, now_ms, incarnation),
         rollouts=RolloutsState(settings.identity.node_id),
+        identity=settings.identity,
     )
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -17,13 +17,14 @@
 from bamboonotch_core.configuration import CallerLimits
 from bamboonotch_core.effects import (
     CloseLink,
+    CountEvent,
     Effect,
     OpenLink,
     Report,
     SendMessage,
     StopProcess,
 )
-from bamboonotch_core.events import Event, ShutdownRequested, Tick
+from bamboonotch_core.events import Event, IdentityChanged, ShutdownRequested, Tick
 from bamboonotch_core.membership import backend_server_address, own_record
 from bamboonotch_core.quota_events import SendQuotaAsk
 from bamboonotch_core.reducer import reduce
@@ -176,6 +177,7 @@
         :param settings: the new settings.
         """
         self._path.ingress.service = settings.identity.service
+        self.dispatch(IdentityChanged(now_ms(), settings.identity))
 
     def dispatch(self, event: Event) -> None:
         """Reduce an event and carry out its effects, after those already in progress.
@@ -319,6 +321,7 @@
             OpenLink: self._open_link,
             CloseLink: self._close_link,
             Report: self.report,
+            CountEvent: self._count_event,
             StopProcess: self._stop,
         }
         path = dict(self._path.handlers)
@@ -336,6 +339,9 @@
     def _close_link(self, effect: CloseLink) -> None:
         self._links.close(effect.link_id, effect.reason)
 
+    def _count_event(self, effect: CountEvent) -> None:
+        self._metrics.count_event(effect.name)
+
     def _stop(self, effect: StopProcess) -> None:
         del effect
         self._stopped.set()
