Acknowledge a departure only when the store has it

Cause: the wait for the store ended in the same answer whether or not the store had the departure, so the promise rested on processes that can all be killed. It was kept so that a server is not in use without an acknowledgement, but new requests end before it in any case.

The same promise was given without a base on three other paths: for an entry that had ended with its lease or with a restore, for an announcement that is set aside, and for a late `draining` of a former process, which was dropped and is remembered now.

Ruled out: faster retries; belief in a heartbeat by its start time; the entry alone, which the next process may find without the departure.

--- a/packages/core/src/bamboonotch_core/announcements.py
+++ b/packages/core/src/bamboonotch_core/announcements.py
@@ -21,6 +21,8 @@
     "is_departure_of_another",
     "is_new_departure",
     "is_outdated",
+    "is_remembered",
+    "is_same_process",
     "make_departure",
     "says_leaving",
     "started_after",
@@ -37,8 +39,14 @@
 MAX_DEPARTURES = 8
 
 
-def _process(announcement: BackendServerAnnounced) -> tuple[str, int]:
-    return announcement.instance_id, announcement.started_unix_ms
+def is_same_process(latest: BackendServerAnnounced, event: BackendServerAnnounced) -> bool:
+    """Tell whether two announcements are of the same process.
+
+    :param latest: the latest announcement taken.
+    :param event: the announcement.
+    """
+    mine = (latest.instance_id, latest.started_unix_ms)
+    return mine == (event.instance_id, event.started_unix_ms)
 
 
 def make_departure(latest: BackendServerAnnounced, now_ms: float) -> BackendServerAnnounced:
@@ -64,7 +72,7 @@
     """
     if latest is None or not latest.leaving or not event.instance_id:
         return event
-    if _process(latest) != _process(event):
+    if not is_same_process(latest, event):
         return event
     state = DRAINING if event.state == READY else event.state
     return replace_fields(event, state=state, leaving=True)
@@ -152,6 +160,18 @@
     return known is None or not _is_covered(known, event)
 
 
+def is_remembered(
+    departures: tuple[BackendServerAnnounced, ...], event: BackendServerAnnounced
+) -> bool:
+    """Tell whether the departure of a process is among those that are remembered.
+
+    :param departures: the departures that are remembered.
+    :param event: the announcement of the departure.
+    """
+    known = _find_departure(departures, event.instance_id)
+    return known is not None and not started_after(known, event)
+
+
 def with_departure(
     departures: tuple[BackendServerAnnounced, ...], event: BackendServerAnnounced
 ) -> tuple[BackendServerAnnounced, ...]:
@@ -225,7 +245,7 @@
     """
     if latest is None:
         return False
-    if _process(latest) == _process(event):
+    if is_same_process(latest, event):
         if latest.state == STOPPED:
             # A process that has said that it ends does not come back; a heartbeat was on its way.
             return True
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -54,6 +54,7 @@
     is_departure_of_another,
     is_new_departure,
     is_outdated,
+    is_same_process,
     make_departure,
     says_leaving,
     started_after,
@@ -254,7 +255,12 @@
             ("state", event.state),
             ("sequence", -1 if event.sequence is None else event.sequence),
         )
-        return Transition(state, (Report("announcement-outdated", fields),))
+        report = Report("announcement-outdated", fields)
+        if latest is not None and is_same_process(latest, event):
+            return Transition(state, (report,))
+        # The next process of this node may not hear first of the one that is in use here.
+        remembered = _remember_departure(event, state)
+        return Transition(remembered.state, (report, *remembered.effects))
     return _take_announcement(event, state)
 
 
--- a/packages/core/tests/test_announcements.py
+++ b/packages/core/tests/test_announcements.py
@@ -297,6 +297,17 @@
         self.assertEqual(self._kept(_depart("a")), ["stopped"])
         self.assertEqual(self._kept(_depart("a", heard=6000)), [])
 
+    def test_late_draining_of_a_former_process_is_kept(self) -> None:
+        """Guards against an acknowledged drain that the next process of the node undoes.
+
+        That process may hear the late heartbeat before any of the server in use.
+        """
+        self._reduce(_announce("b", "ready", 1, started=2000))
+        self.assertEqual(self._kept(_announce("a", "draining", 6)), ["draining"])
+        self.assertEqual(self._state(), "b ready")
+        self.assertEqual(self._kept(_announce("a", "draining", 7)), [])
+        self.assertEqual(self._kept(_announce("b", "draining", 0, started=2000)), [])
+
     def test_late_heartbeat_comes_before_the_recall(self) -> None:
         """Guards against a departure that is ignored because a heartbeat was faster."""
         self._reduce(_announce("a", "ready", 5))
--- a/packages/node/src/bamboonotch_node/runtime/_document_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_document_driver.py
@@ -122,8 +122,8 @@
             await asyncio.wait_for(both.asFuture(loop), FAREWELL_TIMEOUT_S)
         await self._store.close().asFuture(loop)
 
-    def departures_kept(self) -> Deferred[None]:
-        """Wait, for a bounded time, until the store has the departures heard so far."""
+    def departures_kept(self) -> Deferred[bool]:
+        """Return whether the store has the departures heard so far, after a bounded time."""
         return self._registration.departures_kept()
 
     @property
--- a/packages/node/src/bamboonotch_node/runtime/_node.py
+++ b/packages/node/src/bamboonotch_node/runtime/_node.py
@@ -12,8 +12,9 @@
 from types import TracebackType
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
+from bamboonotch_core.announcements import is_remembered
 from bamboonotch_core.configuration import CallerLimits
 from bamboonotch_core.effects import (
     CloseLink,
@@ -24,7 +25,13 @@
     SendMessage,
     StopProcess,
 )
-from bamboonotch_core.events import Event, IdentityChanged, ShutdownRequested, Tick
+from bamboonotch_core.events import (
+    BackendServerAnnounced,
+    Event,
+    IdentityChanged,
+    ShutdownRequested,
+    Tick,
+)
 from bamboonotch_core.membership import backend_server_address, own_record
 from bamboonotch_core.quota_events import SendQuotaAsk
 from bamboonotch_core.reducer import reduce
@@ -194,8 +201,14 @@
         finally:
             self._draining_queue = False
 
-    def departures_kept(self) -> Deferred[None]:
-        """Wait, for a bounded time, until departures would outlive this process."""
+    def departure_kept(self, departure: BackendServerAnnounced) -> Deferred[bool]:
+        """Return whether a departure that was dispatched outlives this process.
+
+        :param departure: what the backend server has said.
+        :returns: after a bounded time; false at once for one that the reducer has refused.
+        """
+        if not is_remembered(self._state.departures, departure):
+            return succeed(False)
         return self._store.departures_kept()
 
     def report(self, report: Report) -> None:
--- a/packages/node/src/bamboonotch_node/runtime/_store_driver.py
+++ b/packages/node/src/bamboonotch_node/runtime/_store_driver.py
@@ -105,9 +105,9 @@
             await Deferred.fromCoroutine(self._slots.stop()).asFuture(asyncio.get_running_loop())
         await self._client.close().asFuture(asyncio.get_running_loop())
 
-    def departures_kept(self) -> Deferred[None]:
+    def departures_kept(self) -> Deferred[bool]:
         """Return at once, because this store keeps no departures."""
-        return succeed(None)
+        return succeed(True)
 
     @property
     def handlers(self) -> EffectHandlers:
--- a/packages/node/src/bamboonotch_node/runtime/_surroundings.py
+++ b/packages/node/src/bamboonotch_node/runtime/_surroundings.py
@@ -31,8 +31,8 @@
     async def __aexit__(self, *error: Any) -> None:
         """Release them."""
 
-    def departures_kept(self) -> Deferred[None]:
-        """Wait, for a bounded time, until departures would outlive this process."""
+    def departures_kept(self) -> Deferred[bool]:
+        """Return whether departures outlive this process, after a bounded time."""
 
     @property
     def handlers(self) -> EffectHandlers:
--- a/packages/store/src/bamboonotch_store/registration.py
+++ b/packages/store/src/bamboonotch_store/registration.py
@@ -49,9 +49,8 @@
 MAX_DEPARTURE_RETRY_S = 0.5
 # Time over which the nodes of a fleet register again when the store was restored from a copy.
 REGISTER_AGAIN_S = 1.0
-# A backend server waits for an acknowledgement for a second, and leaves without one some seconds
-# later. A store that is slow or away must not cost it either.
-KEEP_LIMIT_S = 0.4
+# A backend server waits for an acknowledgement for a second; the rest is the way back.
+KEEP_LIMIT_S = 0.8
 
 
 @dataclass(frozen=True)
@@ -186,7 +185,7 @@
         self._writing = DeferredLock()
         self._departures: tuple[BackendServerAnnounced, ...] = ()
         self._is_entry_current = False
-        self._waiting: list[tuple[Any, Deferred[None]]] = []
+        self._waiting: list[tuple[Any, Deferred[bool]]] = []
 
     def start(self) -> None:
         """Register, and stay registered until stopped."""
@@ -203,12 +202,15 @@
         self._is_entry_current = False
         self._write_soon()
 
-    def departures_kept(self) -> Deferred[None]:
-        """Wait until the store has the departures heard so far, for ``KEEP_LIMIT_S`` at most."""
+    def departures_kept(self) -> Deferred[bool]:
+        """Wait until the store has the departures heard so far.
+
+        :returns: whether the store has them, after ``KEEP_LIMIT_S`` at most.
+        """
         if self._is_entry_current or not self._departures:
-            return succeed(None)
-        kept: Deferred[None] = Deferred()
-        timer = self._reactor.callLater(KEEP_LIMIT_S, kept.callback, None)
+            return succeed(True)
+        kept: Deferred[bool] = Deferred()
+        timer = self._reactor.callLater(KEEP_LIMIT_S, kept.callback, False)
         self._waiting.append((timer, kept))
         return kept
 
@@ -218,7 +220,7 @@
         for timer, kept in waiting:
             if timer.active():
                 timer.cancel()
-                kept.callback(None)
+                kept.callback(True)
 
     def note_epoch(self, epoch: int) -> None:
         """Register again if the store was restored since the lease was created.
@@ -227,6 +229,7 @@
         """
         self._epoch = max(self._epoch, epoch)
         if self._lease is not None and not self._is_current(self._lease):
+            self._is_entry_current = False
             self._wake()
 
     async def stop(self) -> None:
@@ -250,18 +253,22 @@
                 wait_s = await self._renew()
                 self._failures = self._restores = 0
             except StoreRestoredError:
-                self._lease = None
-                self._revision = 0
+                self._forget_lease()
                 wait_s = self._note_restore()
             except LeaseEndedError:
                 self._report(Report("registration-lapsed"))
-                self._lease = None
-                self._revision = 0
+                self._forget_lease()
                 continue
             except StoreError as error:
                 wait_s = self._note_failure(error)
             await self._sleep(wait_s, may_wake=True)
 
+    def _forget_lease(self) -> None:
+        """Take the lease for ended, and the entry with the departures in it for gone."""
+        self._lease = None
+        self._revision = 0
+        self._is_entry_current = False
+
     async def _renew(self) -> float:
         """Register or renew, and return the wait until the next renewal, in seconds.
 
