Hold a departure call for every process of its id

Cause: a departure call that names only an id was given the start time of the process of that id that was heard last, and was remembered, written to the entry and told to neighbours in that form. The late heartbeat has a later start time, so it passed for one of a process that started after the departure.

Such a call is kept as it came now, with the time at which it was heard, and holds for every process of the id that started until then. Only what the node shows of the server in use is completed. A later call of the id replaces it; the first one used to cover it, whenever it came.

Ruled out: a departure that is lost or overwritten; it was remembered, for the wrong process.

test_departure_of_a_process_not_in_use_is_kept asked that a second call, heard a second later, is not kept: that is the fault. It now asks that a call is kept once for each time at which it was heard, and that an earlier one is not.

--- a/packages/core/src/bamboonotch_core/announcements.py
+++ b/packages/core/src/bamboonotch_core/announcements.py
@@ -4,8 +4,9 @@
 same address. The start time orders processes; the sequence number orders what one process says.
 
 A departure that was acknowledged must hold whatever arrives later, so departures are remembered by
-process id, beside the latest announcement. A departure call names its process by the id alone; a
-node that has not heard that process then knows only that it started before the call.
+process id, beside the latest announcement. A departure call names its process by the id alone, and
+the node need not have heard the process that it means: it is any of the id that started before the
+call was heard.
 """
 
 from __future__ import annotations
@@ -19,13 +20,14 @@
     "complete_departure",
     "has_departed",
     "is_departure_of_another",
+    "is_late_drain",
     "is_new_departure",
     "is_outdated",
     "is_remembered",
-    "is_same_process",
     "make_departure",
     "says_leaving",
     "started_after",
+    "widen_departure",
     "with_departure",
     "with_known_departure",
 ]
@@ -39,14 +41,8 @@
 MAX_DEPARTURES = 8
 
 
-def is_same_process(latest: BackendServerAnnounced, event: BackendServerAnnounced) -> bool:
-    """Tell whether two announcements are of the same process.
-
-    :param latest: the latest announcement taken.
-    :param event: the announcement.
-    """
-    mine = (latest.instance_id, latest.started_unix_ms)
-    return mine == (event.instance_id, event.started_unix_ms)
+def _process(announcement: BackendServerAnnounced) -> tuple[str, int]:
+    return announcement.instance_id, announcement.started_unix_ms
 
 
 def make_departure(latest: BackendServerAnnounced, now_ms: float) -> BackendServerAnnounced:
@@ -72,7 +68,7 @@
     """
     if latest is None or not latest.leaving or not event.instance_id:
         return event
-    if not is_same_process(latest, event):
+    if _process(latest) != _process(event):
         return event
     state = DRAINING if event.state == READY else event.state
     return replace_fields(event, state=state, leaving=True)
@@ -100,6 +96,24 @@
     )
 
 
+def widen_departure(
+    latest: BackendServerAnnounced | None, event: BackendServerAnnounced
+) -> BackendServerAnnounced:
+    """Return the departure to remember after an announcement.
+
+    A departure call that names only an id holds for all processes of the id that have been heard,
+    also where a clock that went back dates the call before their start.
+
+    :param latest: the latest announcement taken before, or ``None``.
+    :param event: the announcement as it was sent.
+    """
+    if latest is None or event.state != STOPPED or event.started_unix_ms:
+        return event
+    if latest.instance_id != event.instance_id or latest.started_unix_ms <= event.heard_unix_ms:
+        return event
+    return replace_fields(event, heard_unix_ms=latest.started_unix_ms)
+
+
 def is_departure_of_another(
     latest: BackendServerAnnounced | None, event: BackendServerAnnounced
 ) -> bool:
@@ -113,6 +127,19 @@
     return latest.instance_id != event.instance_id
 
 
+def is_late_drain(latest: BackendServerAnnounced | None, event: BackendServerAnnounced) -> bool:
+    """Tell whether an outdated announcement says that the process in use drains.
+
+    A later announcement of that process has taken it back.
+
+    :param latest: the latest announcement taken, or ``None``.
+    :param event: the outdated announcement.
+    """
+    if latest is None or event.state != DRAINING:
+        return False
+    return _process(latest) == _process(event)
+
+
 def started_after(departure: BackendServerAnnounced, event: BackendServerAnnounced) -> bool:
     """Tell whether an announcement is of a process that started after another one of its id left.
 
@@ -223,13 +250,15 @@
 
 
 def _is_covered(known: BackendServerAnnounced, event: BackendServerAnnounced) -> bool:
-    """Tell whether a remembered departure holds for the process of another departure.
+    """Tell whether a remembered departure holds for every process of another departure.
 
-    A departure call of an unknown process may be of any that started before it.
+    A departure call that names only an id may be of any process that started before it was heard.
     """
-    if event.state == STOPPED and not event.started_unix_ms:
-        return not known.started_unix_ms
-    return not started_after(known, event)
+    if event.state != STOPPED or event.started_unix_ms:
+        return not started_after(known, event)
+    if known.started_unix_ms:
+        return event.heard_unix_ms < known.started_unix_ms
+    return event.heard_unix_ms <= known.heard_unix_ms
 
 
 def _is_earlier_process(known: BackendServerAnnounced, event: BackendServerAnnounced) -> bool:
@@ -245,7 +274,7 @@
     """
     if latest is None:
         return False
-    if is_same_process(latest, event):
+    if _process(latest) == _process(event):
         if latest.state == STOPPED:
             # A process that has said that it ends does not come back; a heartbeat was on its way.
             return True
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -52,12 +52,13 @@
     complete_departure,
     has_departed,
     is_departure_of_another,
+    is_late_drain,
     is_new_departure,
     is_outdated,
-    is_same_process,
     make_departure,
     says_leaving,
     started_after,
+    widen_departure,
     with_departure,
     with_known_departure,
 )
@@ -244,9 +245,10 @@
         return _set_aside(event, misfit, state)
     if outranks(event, latest, *basis):
         latest = None
+    departure = widen_departure(latest, event)
     event = with_known_departure(latest, complete_departure(latest, event))
     if is_departure_of_another(latest, event):
-        remembered = _remember_departure(event, state)
+        remembered = _remember_departure(departure, state)
         report = Report("departure-remembered", (("instance_id", event.instance_id),))
         return Transition(remembered.state, (report, *remembered.effects))
     if has_departed(state.departures, event) or is_outdated(latest, event):
@@ -256,12 +258,12 @@
             ("sequence", -1 if event.sequence is None else event.sequence),
         )
         report = Report("announcement-outdated", fields)
-        if latest is not None and is_same_process(latest, event):
+        if is_late_drain(latest, event):
             return Transition(state, (report,))
         # The next process of this node may not hear first of the one that is in use here.
-        remembered = _remember_departure(event, state)
+        remembered = _remember_departure(departure, state)
         return Transition(remembered.state, (report, *remembered.effects))
-    return _take_announcement(event, state)
+    return _take_announcement(event, departure, state)
 
 
 def _set_aside(event: BackendServerAnnounced, reason: str, state: NodeState) -> NodeTransition:
@@ -285,9 +287,11 @@
     return Transition(replace_fields(state, identity=event.identity))
 
 
-def _take_announcement(event: BackendServerAnnounced, state: NodeState) -> NodeTransition:
-    """Apply an announcement, and remember a departure."""
-    remembered = _remember_departure(event, state)
+def _take_announcement(
+    event: BackendServerAnnounced, departure: BackendServerAnnounced, state: NodeState
+) -> NodeTransition:
+    """Apply an announcement, and remember the departure that it tells, if any."""
+    remembered = _remember_departure(departure, state)
     transition = _reduce_all(event, replace_fields(remembered.state, announcement=event))
     return Transition(transition.state, transition.effects + remembered.effects)
 
@@ -360,7 +364,8 @@
     if not event.leaving or latest.leaving:
         return limited
     fields = (("service", latest.service), ("instance_id", event.instance_id))
-    left = _take_announcement(make_departure(latest, event.now_ms), limited.state)
+    departure = make_departure(latest, event.now_ms)
+    left = _take_announcement(departure, departure, limited.state)
     report = Report("backend-server-leaves", fields)
     return Transition(left.state, (*limited.effects, report, *left.effects))
 
--- a/packages/core/tests/test_announcements.py
+++ b/packages/core/tests/test_announcements.py
@@ -218,6 +218,34 @@
                 is_ready = state.admission.backend.state == "ready"
                 self.assertFalse(departed and is_ready and in_use.instance_id == "a", order)
 
+    def test_departure_of_a_process_before_its_first_heartbeat(self) -> None:
+        """Guards against a departure that holds only for the process of the id that was heard."""
+        self._hear(_announce("a", "ready", 4, started=1000))
+        self.assertEqual(self._hear(_depart("a", heard=5000)), "a stopped")
+        self.assertEqual(self._hear(_announce("a", "ready", 1, started=4000)), "a stopped")
+        self.assertEqual(self._hear(_announce("a", "ready", 5, started=1000)), "a stopped")
+        self.assertEqual(self._hear(_announce("a", "ready", 1, started=5001)), "a ready")
+
+    def test_two_departures_before_a_heartbeat(self) -> None:
+        """Guards against a second departure that is taken for the first one of its id."""
+        self._hear(_depart("a", heard=5000))
+        self._hear(_depart("a", heard=7000))
+        self.assertEqual(self._hear(_announce("a", "ready", 1, started=6000)), "a stopped")
+        self.assertEqual(self._hear(_announce("a", "ready", 1, started=7001)), "a ready")
+
+    def test_departure_after_a_drain_of_an_earlier_process(self) -> None:
+        """Guards against a departure call that is taken for that of a process which drained."""
+        self._hear(_announce("a", "draining", 6, started=1000))
+        self._hear(_depart("a", heard=5000))
+        self.assertEqual(self._hear(_announce("a", "ready", 1, started=4000)), "a stopped")
+
+    def test_clock_that_goes_back_before_a_departure(self) -> None:
+        """Guards against a departure that does not hold for the process that is in use."""
+        self._hear(_announce("a", "ready", 4, started=9000))
+        self.assertEqual(self._hear(_depart("a", heard=5000)), "a stopped")
+        self.assertEqual(self._hear(_announce("a", "ready", 5, started=9000)), "a stopped")
+        self.assertEqual(self._hear(_announce("a", "ready", 1, started=9001)), "a ready")
+
     def test_departures_are_bounded(self) -> None:
         """Guards against a caller that fills the memory with departures of made-up processes."""
         for number in range(1000):
@@ -295,7 +323,11 @@
         """Guards against an acknowledged departure that only the memory of one process holds."""
         self._reduce(_announce("b", "ready", 4))
         self.assertEqual(self._kept(_depart("a")), ["stopped"])
+        self.assertEqual(self._kept(_depart("a")), [])
+        # A process that started between the two calls and was not heard may have sent the second.
+        self.assertEqual(self._kept(_depart("a", heard=6000)), ["stopped"])
         self.assertEqual(self._kept(_depart("a", heard=6000)), [])
+        self.assertEqual(self._kept(_depart("a", heard=4000)), [])
 
     def test_late_draining_of_a_former_process_is_kept(self) -> None:
         """Guards against an acknowledged drain that the next process of the node undoes.
