Let neighbours read for store readers whose answers are late

Cause: the watches of a region's three readers ended together, at each change and every 2 s from then on, so what the others knew of all three was one confirmation. A reader without an answer told nobody until its call had timed out. The others read the store when their confirmation was older than a watch and a heartbeat for each hop, a time that nothing ties to that in which a version must be in force.

The first watch of a reader after a change lasts a third, two thirds or the whole of its time, so the store answers the readers in turn from then on. A reader whose answer is late states so in its heartbeats within two ticks, and its neighbours read the store, unless their confirmation is younger than the distance between two answers.

Ruled out: a lower age at which every node reads, since confirmations at the far end of a region are up to 3.2 s old at rest; slow travel of the version, which takes 0.1 to 0.4 s.

The model of the whole fleet now ends calls that get no answer, as the client does.

--- a/packages/core/src/bamboonotch_core/_membership_view.py
+++ b/packages/core/src/bamboonotch_core/_membership_view.py
@@ -9,11 +9,11 @@
     MembershipState,
     is_lowest_slot,
     is_region_usable,
-    is_store_reader,
     misses_store_reader,
     neighbours,
     overlay_neighbours,
     own_record,
+    store_reader_share,
 )
 from bamboonotch_core.replace import replace_fields
 
@@ -43,21 +43,22 @@
         open_links = _open_links(after)
         if open_links != view.neighbours:
             view = replace_fields(view, neighbours=open_links)
-    reader, lowest = is_store_reader(after), is_lowest_slot(after)
+    reader_share, lowest = store_reader_share(after), is_lowest_slot(after)
     missing = misses_store_reader(after)
     incarnation = own_record(after).incarnation
     if after.overlay.gateways is not before.overlay.gateways:
         view = replace_fields(view, far_gateways=_far_gateways(after))
     known = (
-        view.is_store_reader,
+        view.reader_share,
         view.misses_store_reader,
         view.is_lowest_slot,
         view.own_incarnation,
     )
-    if (reader, missing, lowest, incarnation) != known:
+    if (reader_share, missing, lowest, incarnation) != known:
         view = replace_fields(
             view,
-            is_store_reader=reader,
+            is_store_reader=reader_share > 0.0,
+            reader_share=reader_share,
             misses_store_reader=missing,
             is_lowest_slot=lowest,
             own_incarnation=incarnation,
--- a/packages/core/src/bamboonotch_core/_versions_part.py
+++ b/packages/core/src/bamboonotch_core/_versions_part.py
@@ -103,6 +103,7 @@
         distribution.confirmation.confirmed_ms,
         distribution.store_epoch,
         distribution.refused_version if distribution.is_superseded else 0,
+        distribution.lost_store,
     )
 
 
--- a/packages/core/src/bamboonotch_core/distribution/_view.py
+++ b/packages/core/src/bamboonotch_core/distribution/_view.py
@@ -37,6 +37,8 @@
     :param neighbours: all open links, oldest first; of two links to one node the last is used.
     :param live_node_ids: members that are neither dead nor stopped; suspects are included.
     :param is_store_reader: whether this node keeps a watch on the store.
+    :param reader_share: place of this node among the nodes of its region that keep such a watch, as
+        a share of their number; 0 for other nodes.
     :param misses_store_reader: whether this node should have a link to a node with such a watch,
         but has none.
     :param is_lowest_slot: whether this node holds the lowest relay slot of the store's region.
@@ -52,6 +54,7 @@
     neighbours: tuple[Neighbour, ...] = ()
     live_node_ids: frozenset[str] = frozenset()
     is_store_reader: bool = False
+    reader_share: float = 0.0
     misses_store_reader: bool = False
     is_lowest_slot: bool = False
     peer_addresses: Mapping[str, str] = Map()
--- a/packages/core/src/bamboonotch_core/documents/_reading.py
+++ b/packages/core/src/bamboonotch_core/documents/_reading.py
@@ -27,7 +27,9 @@
     DocumentUnchanged,
     StoreReadFailed,
 )
+from bamboonotch_core.membership import STORE_READERS
 from bamboonotch_core.messages import Heartbeat
+from bamboonotch_core.settings import NodeSettings
 
 __all__ = [
     "READER_MISSED_MS",
@@ -36,9 +38,14 @@
     "advance_reading",
     "apply_peer_statements",
     "delay_read_in_burst",
+    "drop_lost_reader",
     "drop_peer_statement",
+    "late_after_ms",
+    "note_lost_store",
     "note_read_failure",
+    "note_reader_statement",
     "note_store_answer",
+    "report_short_apply_time",
     "take_confirmation",
 ]
 
@@ -88,8 +95,19 @@
 WHOLE_READ_FAILURES = 4
 # How long a node that is known to be behind waits for the document of a peer before it reads.
 PEER_DOCUMENT_WAIT_MS = 1000.0
+# Share of a watch after which an answer without a change counts as its end; clocks differ.
+WHOLE_SHARE = 0.9
 # Span over which the nodes that miss a confirmation at the same time begin to read.
 STALE_SPREAD_MS = 500.0
+# The same for the neighbours of a reader that has lost the store.
+LOST_SPREAD_MS = 200.0
+# From the moment at which an answer is due until the other nodes run the version: two ticks and a
+# message until the neighbours of the reader know, their spread, a read, and a document that goes
+# through the region.
+REPLACED_MS = 900.0
+# An answer is late after this time at least, and after half of the time that is left to others.
+MIN_LATE_MS = 150.0
+LATE_SHARE = 0.5
 
 
 def advance_reading(step: Step) -> None:
@@ -101,7 +119,11 @@
     if reading.may_use_confirmed or _prefers_changes(step):
         revision = max(revision, step.state.confirmation.revision)
     wait_ms = _wait_ms(step) if revision else 0
-    step.update_reading(pending=True)
+    due_ms = reading.due_ms
+    if wait_ms and due_ms is None:
+        due_ms = step.now_ms + wait_ms + late_after_ms(step.state.settings)
+    whole_ms = step.now_ms + WHOLE_SHARE * wait_ms
+    step.update_reading(pending=True, whole_ms=whole_ms, due_ms=due_ms)
     step.effects.append(WatchDocument(revision, wait_ms, step.state.store_epoch))
 
 
@@ -118,10 +140,23 @@
         _is_strict(step) and _waits_for_peer(step)
     ):
         return True
+    if _must_replace_reader(step, confirmed_ms):
+        return True
     missed_ms = step.state.reader_missed_ms
     return missed_ms is not None and step.now_ms - missed_ms >= READER_MISSED_MS
 
 
+def _must_replace_reader(step: Step, confirmed_ms: float) -> bool:
+    """Return whether a reader has lost the store, and no other one has had an answer since."""
+    lost_ms = step.state.lost_reader_ms
+    if lost_ms is None:
+        return False
+    between_ms = _watch_ms(step) / STORE_READERS + late_after_ms(step.state.settings)
+    if step.now_ms - confirmed_ms < between_ms:
+        return False
+    return step.now_ms - lost_ms >= LOST_SPREAD_MS * _share_of_node(step.state)
+
+
 def _is_strict(step: Step) -> bool:
     return step.state.settings.access.revocation_ms > 0
 
@@ -133,6 +168,10 @@
 
 def _wait_ms(step: Step) -> int:
     """Return how long the next read waits for a change, in milliseconds."""
+    if step.is_store_reader and not step.state.reading.watched_whole:
+        # All watches end at a change. The first ones after it last unlike times, so that from then
+        # on the store answers the readers of a region one after the other.
+        return max(1, round(_watch_ms(step) * (step.reader_share or 1.0)))
     if not _is_strict(step) or step.is_store_reader or step.misses_store_reader:
         return _watch_ms(step)
     # A node whose confirmation is missing needs an answer at once, and one that has it spares
@@ -213,7 +252,9 @@
         step.update(store_reachable=True)
     if revision:
         _confirm(step, revision, step.now_ms - event.age_ms)
-        step.update(reading=DocumentReading(revision))
+        is_whole = step.now_ms >= step.state.reading.whole_ms
+        watched_whole = isinstance(event, DocumentUnchanged) and is_whole
+        step.update(reading=DocumentReading(revision, watched_whole=watched_whole))
         return
     # Without a revision a read does not wait for a change, so a pause separates the reads.
     not_before_ms = step.now_ms + ABSENT_DOCUMENT_PAUSE_MS
@@ -230,14 +271,85 @@
     limit_ms = MAX_BACKOFF_MS if step.is_store_reader else MAX_OTHERS_BACKOFF_MS
     wait_ms = min(limit_ms, MIN_BACKOFF_MS * 2 ** min(failures - 1, 10))
     # The source may have dropped the history after the revision, so the next read does not wait.
+    late_ms = step.now_ms + late_after_ms(step.state.settings)
+    known_due_ms = step.state.reading.due_ms
     reading = DocumentReading(
-        may_use_confirmed=False, failures=failures, not_before_ms=step.now_ms + wait_ms
+        may_use_confirmed=False,
+        failures=failures,
+        not_before_ms=step.now_ms + wait_ms,
+        due_ms=late_ms if known_due_ms is None else min(known_due_ms, late_ms),
     )
     if step.state.store_reachable:
         step.report("store-lost", reason=reason, held_version=step.state.held_version)
     step.update(reading=reading, store_reachable=False)
 
 
+def late_after_ms(settings: NodeSettings) -> float:
+    """Return how long after the end of its watch a reader's answer counts as late, in milliseconds.
+
+    :param settings: settings of the node.
+    """
+    left_ms = _apply_slack_ms(settings)
+    return max(MIN_LATE_MS, LATE_SHARE * left_ms)
+
+
+def _apply_slack_ms(settings: NodeSettings) -> float:
+    """Return what is left of the time to apply a version when all readers lose the store."""
+    watch_ms = settings.store.watch_ms
+    if settings.access.revocation_ms > 0:
+        watch_ms = min(watch_ms, STRICT_WATCH_MS)
+    return settings.access.freshness_ms - watch_ms / STORE_READERS - REPLACED_MS
+
+
+def report_short_apply_time(step: Step) -> None:
+    """Report when versions cannot take effect in time while all readers have lost the store."""
+    settings = step.state.settings
+    missing_ms = MIN_LATE_MS - _apply_slack_ms(settings)
+    if missing_ms > 0.0:
+        step.report(
+            "apply-time-short",
+            freshness_ms=settings.access.freshness_ms,
+            missing_ms=round(missing_ms),
+        )
+
+
+def note_lost_store(step: Step) -> None:
+    """Note whether this node is a reader that has no answer of the store in time."""
+    due_ms = step.state.reading.due_ms
+    lost = step.is_store_reader and due_ms is not None and step.now_ms >= due_ms
+    if lost == step.state.lost_store:
+        return
+    step.update(lost_store=lost)
+    if lost:
+        step.report("store-answer-late", held_version=step.state.held_version)
+
+
+def note_reader_statement(step: Step, peer: Neighbour, lost_store: bool) -> None:
+    """Note whether a reader of this region states that it has lost the store."""
+    known = step.state.lost_readers
+    if peer.region != step.state.settings.identity.region or lost_store == (peer.link_id in known):
+        return
+    if lost_store:
+        _set_lost_readers(step, known | {peer.link_id})
+    else:
+        drop_lost_reader(step, peer.link_id)
+
+
+def drop_lost_reader(step: Step, link_id: str) -> None:
+    """Forget what the reader at the end of a link has stated."""
+    if link_id in step.state.lost_readers:
+        _set_lost_readers(step, step.state.lost_readers - {link_id})
+
+
+def _set_lost_readers(step: Step, links: frozenset[str]) -> None:
+    since_ms = step.state.lost_reader_ms
+    if not links:
+        since_ms = None
+    elif since_ms is None:
+        since_ms = step.now_ms
+    step.update(lost_readers=links, lost_reader_ms=since_ms)
+
+
 def delay_read_in_burst(step: Step) -> None:
     """Delay the next read after ``BURST_CHANGES`` changes within ``BURST_MS``."""
     change_times_ms = (*step.state.change_times_ms, step.now_ms)[-BURST_CHANGES:]
--- a/packages/core/src/bamboonotch_core/documents/_reducer.py
+++ b/packages/core/src/bamboonotch_core/documents/_reducer.py
@@ -23,9 +23,13 @@
     advance_reading,
     apply_peer_statements,
     delay_read_in_burst,
+    drop_lost_reader,
     drop_peer_statement,
+    note_lost_store,
     note_read_failure,
+    note_reader_statement,
     note_store_answer,
+    report_short_apply_time,
     take_confirmation,
 )
 from bamboonotch_core.documents._state import DocumentState
@@ -69,6 +73,7 @@
     step = Step(state, view, event.now_ms, echo_sent_ms)
     if state.started_ms is None:
         step.update(started_ms=event.now_ms)
+        report_short_apply_time(step)
     if (state.linked_ms is None) == step.has_links:
         step.update(linked_ms=event.now_ms if step.has_links else None)
     if (state.reader_missed_ms is None) == step.misses_store_reader:
@@ -78,6 +83,7 @@
         apply_peer_statements(step)
         announce_held_version(step)
     request_from_peer(step)
+    note_lost_store(step)
     advance_reading(step)
     return Transition(step.state, tuple(step.effects))
 
@@ -134,6 +140,7 @@
     if event.link_id in step.state.peer_versions:
         step.update(peer_versions=step.state.peer_versions.delete(event.link_id))
     drop_peer_statement(step, event.link_id)
+    drop_lost_reader(step, event.link_id)
 
 
 @_handle.register
@@ -152,6 +159,7 @@
 def _(message: Heartbeat, step: Step, peer: Neighbour) -> None:
     note_peer_version(step, peer, message.held_version)
     take_confirmation(step, peer, message)
+    note_reader_statement(step, peer, message.lost_store)
 
 
 @_receive.register
--- a/packages/core/src/bamboonotch_core/documents/_state.py
+++ b/packages/core/src/bamboonotch_core/documents/_state.py
@@ -34,6 +34,10 @@
         instead; not when the source has dropped its history, or when a whole read is wanted.
     :param failures: consecutive reads that failed.
     :param not_before_ms: earliest start of the next read, on the monotonic clock in milliseconds.
+    :param watched_whole: whether the read before lasted as long as it was to wait.
+    :param whole_ms: from when on that can be said of the read in progress, on the same clock.
+    :param due_ms: when an answer of the source is due at the latest, on the same clock, or ``None``
+        while none is.
     """
 
     revision: int = 0
@@ -41,6 +45,9 @@
     may_use_confirmed: bool = True
     failures: int = 0
     not_before_ms: float = 0.0
+    watched_whole: bool = False
+    whole_ms: float = 0.0
+    due_ms: float | None = None
 
 
 @dataclass(frozen=True)
@@ -62,6 +69,9 @@
     """What a peer stated of a version that is newer than the one held here.
 
     :param version: version that the peer holds.
+    :param lost_store: whether this node is a store reader without an answer in time.
+    :param lost_readers: links to store readers of this region that state that of themselves.
+    :param lost_reader_ms: since when there has been any, in milliseconds, or ``None``.
     :param confirmation: how current that version is, dated by the clock of this node.
     """
 
@@ -145,6 +155,9 @@
     started_ms: float | None = None
     linked_ms: float | None = None
     reader_missed_ms: float | None = None
+    lost_store: bool = False
+    lost_readers: frozenset[str] = frozenset()
+    lost_reader_ms: float | None = None
     confirmation: Confirmation = Confirmation()
     peer_statements: Map[str, PeerStatement] = Map()
     store_epoch: int = 0
--- a/packages/core/src/bamboonotch_core/documents/_step.py
+++ b/packages/core/src/bamboonotch_core/documents/_step.py
@@ -41,6 +41,7 @@
         self._view = view
         self.misses_store_reader = view.misses_store_reader
         self.is_store_reader = view.is_store_reader
+        self.reader_share = view.reader_share
 
     @property
     def has_links(self) -> bool:
--- a/packages/core/src/bamboonotch_core/membership/__init__.py
+++ b/packages/core/src/bamboonotch_core/membership/__init__.py
@@ -11,6 +11,7 @@
 )
 from bamboonotch_core.membership._validation import find_announcement_fault
 from bamboonotch_core.membership._views import (
+    STORE_READERS,
     LinkKind,
     Neighbour,
     backend_server_address,
@@ -29,9 +30,11 @@
     own_record,
     ready_services,
     routing_generation,
+    store_reader_share,
 )
 
 __all__ = [
+    "STORE_READERS",
     "Directory",
     "LinkKind",
     "LocalVersions",
@@ -54,6 +57,7 @@
     "make_membership_state",
     "members_of_service",
     "misses_store_reader",
+    "store_reader_share",
     "neighbours",
     "overlay_neighbours",
     "own_record",
--- a/packages/core/src/bamboonotch_core/membership/_exchange.py
+++ b/packages/core/src/bamboonotch_core/membership/_exchange.py
@@ -66,6 +66,7 @@
         number,
         link.heartbeats.received,
         versions.confirmed_version,
+        versions.lost_store,
     )
     step.send(link, heartbeat)
     sent_ms = (*link.heartbeats.sent_ms, step.now_ms)[-MAX_SENT_TIMES:]
@@ -101,11 +102,15 @@
 def send_heartbeats(step: Step) -> None:
     """Send a heartbeat on every link when one is due, or when it states much that is new."""
     due_ms = step.state.schedule.next_heartbeat_ms
-    if step.now_ms < due_ms and not _is_much_fresher(step):
+    lost_store = step.versions.lost_store
+    is_news = lost_store != step.state.schedule.stated_lost_store or _is_much_fresher(step)
+    if step.now_ms < due_ms and not is_news:
         return
     for link in step.links:
         send_heartbeat(step, link)
-    step.change_schedule(stated_confirmed_ms=step.versions.confirmed_ms)
+    step.change_schedule(
+        stated_confirmed_ms=step.versions.confirmed_ms, stated_lost_store=lost_store
+    )
     if step.now_ms < due_ms:
         return
     interval_ms = step.settings.heartbeat_interval_ms
--- a/packages/core/src/bamboonotch_core/membership/_state.py
+++ b/packages/core/src/bamboonotch_core/membership/_state.py
@@ -50,6 +50,7 @@
     :param store_epoch: newest epoch of the store that is known, in which it stated that.
     :param confirmed_version: the version that the confirmation is of, when it is not the held one;
         0 for the held one.
+    :param lost_store: whether this node is to watch the store, and has no answer in time.
     """
 
     held_version: int = 0
@@ -59,6 +60,7 @@
     confirmed_ms: float | None = None
     store_epoch: int = 0
     confirmed_version: int = 0
+    lost_store: bool = False
 
 
 @dataclass(frozen=True)
@@ -373,6 +375,7 @@
     :param next_full_report_ms: time before which a full directory is not reported again.
     :param stated_confirmed_ms: the confirmation that the last heartbeats on all links stated, or
         ``None``.
+    :param stated_lost_store: whether they stated that this node has lost the store.
     """
 
     started: bool
@@ -383,6 +386,7 @@
     lag_ms: float = 0.0
     next_full_report_ms: float = 0.0
     stated_confirmed_ms: float | None = None
+    stated_lost_store: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/membership/_views.py
+++ b/packages/core/src/bamboonotch_core/membership/_views.py
@@ -36,7 +36,7 @@
 
 # When the region has no live slot holder, this many members read the store. Two may be lost at the
 # same moment, together with others, right before a new version.
-FALLBACK_READERS = 3
+STORE_READERS = 3
 
 
 class LinkKind(Enum):
@@ -164,19 +164,31 @@
 
 
 def is_store_reader(state: MembershipState) -> bool:
-    """Return whether this node watches the store for new versions.
+    """Return whether this node watches the store for new versions."""
+    return store_reader_share(state) > 0.0
+
+
+def store_reader_share(state: MembershipState) -> float:
+    """Return the place of this node among those that watch the store, as a share of their number.
 
     These are the relay-slot holders in the store's region or, without any, some members that nobody
     suspects.
+
+    :returns: above 0 for the first one, 1 for the last one; 0 for a node that does not watch.
     """
     own = state.own.record
     if own.region != state.settings.store.region:
-        return False
+        return 0.0
+    holders = state.directory.regions[own.region].slot_holders
     if own.relay_slot >= 0:
-        return True
-    if state.directory.regions[own.region].slot_holders:
-        return False
-    return own.node_id in _fallback_readers(state)
+        readers = sorted({*holders, own.node_id})
+    elif holders:
+        return 0.0
+    else:
+        readers = _fallback_readers(state)
+    if own.node_id not in readers:
+        return 0.0
+    return (readers.index(own.node_id) + 1) / len(readers)
 
 
 def misses_store_reader(state: MembershipState) -> bool:
@@ -200,7 +212,7 @@
     """
     records = state.directory.records
     return heapq.nsmallest(
-        FALLBACK_READERS,
+        STORE_READERS,
         _unsuspected_ring_members(state),
         key=lambda node_id: -records[node_id].link_mbps,
     )
--- a/packages/core/src/bamboonotch_core/messages.py
+++ b/packages/core/src/bamboonotch_core/messages.py
@@ -52,6 +52,8 @@
         any.
     :param confirmed_version: the version that the confirmation is of, when it is not the held one:
         a newer one that was refused. 0 for the held one.
+    :param lost_store: whether the sender is to watch the store for its region, and has no answer in
+        time.
     """
 
     held_version: int
@@ -64,6 +66,7 @@
     number: int = 0
     echo: int = 0
     confirmed_version: int = 0
+    lost_store: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/bamboonotch_core/settings.py
+++ b/packages/core/src/bamboonotch_core/settings.py
@@ -161,8 +161,9 @@
 
     :param revocation_ms: time after the removal of a key until no request with it runs, whichever
         nodes the store can reach, in milliseconds; 0 to accept known keys without a bound.
-    :param freshness_ms: longest time since the running version was known to be the newest for which
-        a key that it lacks is called unknown, in milliseconds.
+    :param freshness_ms: time within which a version must be in force, in milliseconds. Longest time
+        since the running version was known to be the newest for which a key that it lacks is called
+        unknown; decides when an answer of the store is late.
     """
 
     revocation_ms: int = 0
--- a/packages/core/tests/documents/test_readers.py
+++ b/packages/core/tests/documents/test_readers.py
@@ -12,8 +12,8 @@
     make_document_state,
     reduce_documents,
 )
-from bamboonotch_core.documents._reading import READER_MISSED_MS
-from bamboonotch_core.effects import Effect, SendMessage, WatchDocument
+from bamboonotch_core.documents._reading import READER_MISSED_MS, late_after_ms
+from bamboonotch_core.effects import Effect, Report, SendMessage, WatchDocument
 from bamboonotch_core.events import (
     DocumentRead,
     DocumentUnchanged,
@@ -40,6 +40,10 @@
 STALE_MS = 6000.0
 
 
+# The first of three readers.
+FIRST_READER = MembershipView(neighbours=LINKS, is_store_reader=True, reader_share=1 / 3)
+
+
 class ReaderCase(unittest.TestCase):
     """Drives the reducer of one node, which is no reader unless a test says so."""
 
@@ -75,6 +79,101 @@
         return reads
 
 
+class LateAnswerTest(ReaderCase):
+    """A reader whose watch gets no answer, and its neighbours."""
+
+    def setUp(self) -> None:
+        """Let the node hold version 7."""
+        super().setUp()
+        self.step(DocumentRead(0.0, 7, make_document(7), 10))
+
+    def hear_reader(self, now_ms: float, lost_store: bool, link: int = 1) -> list[Effect]:
+        """Receive a heartbeat that confirms nothing."""
+        heartbeat = Heartbeat(7, 7, 0, True, lost_store=lost_store)
+        return self.step(MessageReceived(now_ms, f"link-{link}", heartbeat))
+
+    def test_first_watch_after_a_change_is_shorter(self) -> None:
+        """Guards against readers whose watches all end at the same time."""
+        self.view = FIRST_READER
+        watches = self.step(DocumentRead(100.0, 8, make_document(8), 20))
+        self.assertEqual(watches[-1], WatchDocument(20, 833))
+        for now_ms in (933.0, 3433.0):
+            watches = self.step(DocumentUnchanged(now_ms, 20))
+            self.assertEqual(watches[-1], WatchDocument(20, 2500))
+        watches = self.step(DocumentUnchanged(4000.0, 21))
+        self.assertEqual(watches[-1], WatchDocument(21, 833))
+
+    def test_reader_states_that_it_has_lost_the_store(self) -> None:
+        """Guards against a reader that waits in silence while others rely on it."""
+        self.view = FIRST_READER
+        self.step(DocumentRead(100.0, 8, make_document(8), 20))
+        late_ms = 100.0 + 833.0 + late_after_ms(self.state.settings)
+        self.step(Tick(late_ms - 1.0))
+        self.assertFalse(self.state.lost_store)
+        effects = self.step(Tick(late_ms))
+        self.assertTrue(self.state.lost_store)
+        names = [item.name for item in effects if isinstance(item, Report)]
+        self.assertEqual(names, ["store-answer-late"])
+        self.assertEqual(self.step(Tick(late_ms + 100.0)), [])
+        self.step(DocumentUnchanged(late_ms + 200.0, 20))
+        self.assertFalse(self.state.lost_store)
+
+    def test_reader_whose_reads_fail(self) -> None:
+        """Guards against a reader whose retries put off the moment at which others step in."""
+        self.view = FIRST_READER
+        operation = StoreOperation(WATCH_DOCUMENT)
+        now_ms = 0.0
+        while not self.state.lost_store:
+            now_ms += 100.0
+            self.step(Tick(now_ms))
+            if self.state.reading.pending:
+                self.step(StoreReadFailed(now_ms, operation, "503"))
+        self.assertLessEqual(now_ms, late_after_ms(self.state.settings) + 200.0)
+
+    def test_neighbour_reads_in_place_of_a_reader(self) -> None:
+        """Guards against neighbours that wait until their own confirmation is old."""
+        self.hear_reader(2500.0, True)
+        reads = self.run_until(2500.0, 2800.0)
+        self.assertEqual([read for _, read in reads], [WatchDocument(10, 2500)])
+
+    def test_neighbour_with_a_fresh_confirmation(self) -> None:
+        """Guards against reads of all neighbours when one of three readers loses the store."""
+        now_ms = 2400.0
+        while now_ms < 10_000.0:
+            self.hear(now_ms, 7, 44, 500)
+            self.hear_reader(now_ms, True)
+            self.assertEqual(self.run_until(now_ms, now_ms + 500.0), [])
+            now_ms += 500.0
+
+    def test_statement_is_taken_back_or_lost(self) -> None:
+        """Guards against neighbours that go on reading."""
+        for event in (
+            MessageReceived(2500.0, "link-1", Heartbeat(7, 7, 0, True)),
+            LinkClosed(2500.0, "link-1", "reset"),
+        ):
+            self.setUp()
+            self.hear_reader(2500.0, True)
+            self.step(event)
+            self.assertEqual(self.state.lost_readers, frozenset())
+            self.assertEqual(self.run_until(2500.0, 2900.0), [])
+
+    def test_reader_of_another_region(self) -> None:
+        """Guards against nodes that read the store for another region."""
+        far = replace(LINKS[0], region="gandaki")
+        self.view = MembershipView(neighbours=(far,))
+        self.hear_reader(2500.0, True)
+        self.assertEqual(self.state.lost_readers, frozenset())
+
+    def test_time_that_cannot_be_met(self) -> None:
+        """Guards against a bound that is missed without a word."""
+        for freshness_ms, expected in ((3000, []), (1500, ["apply-time-short"])):
+            access = AccessSettings(freshness_ms=freshness_ms)
+            settings = replace(make_settings(), access=access)
+            self.state = make_document_state(settings)
+            names = [e.name for e in self.step(Tick(0.0)) if isinstance(e, Report)]
+            self.assertEqual(names, expected)
+
+
 class OthersTest(ReaderCase):
     """A node that is no reader."""
 
--- a/packages/core/tests/membership/whole_fleet.py
+++ b/packages/core/tests/membership/whole_fleet.py
@@ -15,6 +15,8 @@
 from tests.membership.fleet import TICK_MS, Fleet
 
 STORE_MS = 4.0
+# Added to the wait of a watch.
+TIMEOUT_MS = 700.0
 VERSION = 5
 
 
@@ -128,6 +130,9 @@
         if event_type is _StoreAnswers:
             self._answer(node_id, fields[0])  # type: ignore[arg-type]
             return
+        if event_type is _CallTimesOut:
+            self._time_out(node_id, fields[0])  # type: ignore[arg-type]
+            return
         if process.paused:
             process.backlog.append((event_type, fields))
             return
@@ -166,6 +171,15 @@
         self._watches[node_id] = watch
         waits = effect.revision >= self.revision
         self._post(STORE_MS / 2 + (effect.wait_ms if waits else 0.0), node_id, _StoreAnswers, watch)
+        self._post(effect.wait_ms + TIMEOUT_MS, node_id, _CallTimesOut, watch)
+
+    def _time_out(self, node_id: str, watch: _Watch) -> None:
+        """End a read that the store has not answered, as the client does."""
+        if self._watches.get(node_id) is not watch:
+            return
+        del self._watches[node_id]
+        operation = events.StoreOperation(WATCH_DOCUMENT)
+        self._post(0.0, node_id, events.StoreReadFailed, operation, "no answer")
 
     def _answer(self, node_id: str, watch: _Watch) -> None:
         """Let the store answer a read, which reaches the node a little later."""
@@ -194,5 +208,9 @@
     """The moment at which the store answers a read, which the fleet handles itself."""
 
 
+class _CallTimesOut(events.Event):
+    """The moment at which the client gives up a read, which the fleet handles itself."""
+
+
 class _AnswerArrives(events.Event):
     """The arrival of an answer of the store, which becomes an event when the process takes it."""
--- a/packages/wire/src/bamboonotch_wire/control.py
+++ b/packages/wire/src/bamboonotch_wire/control.py
@@ -109,6 +109,7 @@
             number=message.number,
             echo=message.echo,
             confirmed_version=message.confirmed_version,
+            lost_store=message.lost_store,
         )
     )
 
@@ -264,6 +265,7 @@
         body.number,
         body.echo,
         body.confirmed_version,
+        body.lost_store,
     )
 
 
--- a/packages/wire/tests/test_control.py
+++ b/packages/wire/tests/test_control.py
@@ -65,6 +65,7 @@
     Heartbeat(5, 4, 2**64 - 1, True, 2**63, 1200, 2**63),
     Heartbeat(5, 4, 0, True, 7, 1200, 1, number=2**63, echo=2**62),
     Heartbeat(5, 4, 0, True, 7, 1200, 1, number=2, echo=1, confirmed_version=2**63),
+    Heartbeat(5, 4, 0, True, 7, 1200, 1, number=2, echo=1, lost_store=True),
     Departures(
         "menu-1",
         (
