Report departures of other services that a peer returns

Cause: a departure of another service that a neighbour gave back was dropped without a line, against the rule that no refusal is silent; one from the store was reported. Two descriptions of the state of the documents stood at another class. Found by reading the change. Ruled out: a difference in what is kept, as neither was taken over.

--- a/packages/core/src/bamboonotch_core/documents/_state.py
+++ b/packages/core/src/bamboonotch_core/documents/_state.py
@@ -69,9 +69,6 @@
     """What a peer stated of a version that is newer than the one held here.
 
     :param version: version that the peer holds.
-    :param lost_store: whether this node is a store reader without an answer in time.
-    :param lost_readers: links to store readers of this region that state that of themselves.
-    :param lost_reader_ms: since when there has been any, in milliseconds, or ``None``.
     :param confirmation: how current that version is, dated by the clock of this node.
     """
 
@@ -121,6 +118,9 @@
     :param linked_ms: since when this node has had peers, in milliseconds, or ``None`` without any.
     :param reader_missed_ms: since when this node has missed the link to a store reader, in
         milliseconds, or ``None``.
+    :param lost_store: whether this node is a store reader without an answer in time.
+    :param lost_readers: links to store readers of this region that state that of themselves.
+    :param lost_reader_ms: since when there has been any, in milliseconds, or ``None``.
     :param confirmation: how current the newest known version is, held or refused.
     :param peer_statements: the freshest confirmation of a newer version that the peer of each link
         has stated, by link id; it holds here once such a version is held.
--- a/packages/core/src/bamboonotch_core/membership/__init__.py
+++ b/packages/core/src/bamboonotch_core/membership/__init__.py
@@ -57,11 +57,11 @@
     "make_membership_state",
     "members_of_service",
     "misses_store_reader",
-    "store_reader_share",
     "neighbours",
     "overlay_neighbours",
     "own_record",
     "ready_services",
     "reduce_membership",
     "routing_generation",
+    "store_reader_share",
 ]
--- a/packages/core/src/bamboonotch_core/reducer.py
+++ b/packages/core/src/bamboonotch_core/reducer.py
@@ -344,7 +344,9 @@
         departure = limit_hearing(item, own_record(state.membership).incarnation)
         if not is_new_departure(state.departures, departure):
             continue
-        if find_service_fault(departure, state.identity.service):
+        fault = find_service_fault(departure, state.identity.service)
+        if fault:
+            effects.append(Report("departure-refused", (("peer", sender), ("reason", fault))))
             continue
         recalled = _reduce_event(DepartureRecalled(event.now_ms, departure), state)
         state = recalled.state
