Read the settings file again when its watch begins

Cause: the watch took the modification time of the file when it was made, after the start of the node. A change between the first reading and that moment was taken for the file that had been read.

The watch reads the file when it begins, and takes over what differs.

Ruled out: a change that is noticed and not applied; nothing was reported.

Before: test_change_while_the_node_starts fails.

--- a/packages/node/src/bamboonotch_node/runtime/_settings_watch.py
+++ b/packages/node/src/bamboonotch_node/runtime/_settings_watch.py
@@ -37,7 +37,8 @@
 class SettingsWatch:
     """Reads the settings file again when it changes; a context manager that stops to.
 
-    A file that is not valid changes nothing.
+    A file that is not valid changes nothing. The file is read once more at the beginning, because
+    the node starts after the first reading.
 
     :param path: the file.
     :param settings: the settings in use.
@@ -60,6 +61,8 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> SettingsWatch:
+        if self._differs():
+            self.reload()
         self._schedule()
         return self
 
@@ -82,6 +85,14 @@
         self._settings = settings
         self._apply(settings)
 
+    def _differs(self) -> bool:
+        """Tell whether the file has changed since the settings in use were read."""
+        self._modified_ns = self._modification_time()
+        try:
+            return read_settings(self._path) != self._settings
+        except SettingsError:
+            return True
+
     def _modification_time(self) -> int:
         try:
             return self._path.stat().st_mtime_ns
--- a/packages/node/tests/settings/test_watch.py
+++ b/packages/node/tests/settings/test_watch.py
@@ -60,6 +60,31 @@
         names = {report.name for report in self.reports}
         self.assertEqual(names, {"settings-refused", "settings-unreadable"})
 
+    def test_change_while_the_node_starts(self) -> None:
+        """Guards against a file that changes between its first reading and the watch.
+
+        Its change was never noticed, and the node took its own backend server for another writer.
+        """
+        watch = self._watch()
+        before = self.path.stat()
+        self.path.write_text(EXAMPLE.replace("[node]", "[node]\nservice = plans\n"))
+        os.utime(self.path, ns=(before.st_atime_ns, before.st_mtime_ns))
+
+        async def run() -> None:
+            with watch:
+                self.assertEqual(self.applied[0].identity.service, "plans")
+
+        asyncio.run(run())
+
+    def test_file_that_has_not_changed(self) -> None:
+        """Guards against a reload that is reported at each start."""
+
+        async def run() -> None:
+            with self._watch():
+                self.assertEqual((self.applied, self.reports), ([], []))
+
+        asyncio.run(run())
+
     def test_change_without_a_signal(self) -> None:
         """Guards against a change that waits for a signal that never comes."""
 
